Log: what a submitted job asks for, and its end

Cause: a late job could not be told from its log lines: its priority, shape and end were missing. Change: the submit line carries them; the planner logs the end of each job.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -48,6 +48,10 @@
       writer_(options_.records, open_store()),
       desk_(options_.desk, rules_, ledger_, writer_),
       dispatcher_(options_.dispatch) {
+  ledger_.SetOnRecord([this](const Ledger& ledger, const LedgerRecord& record,
+                             std::int64_t offset) {
+    LogEndOfJob(ledger, record, offset);
+  });
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
   ledger_.Start();
   planner_thread_ = std::thread([this] { PlannerLoop(); });
@@ -131,6 +135,27 @@
   LogEvent("planner_election").With("epoch", epoch + 1).With("stored", stored);
 }
 
+void EntryNode::LogEndOfJob(const Ledger& ledger,
+                            const LedgerRecord& record,
+                            std::int64_t offset) const {
+  if (ledger.planner() != planner_id_) {
+    return;  // One line for all entries.
+  }
+  const auto* ended = std::get_if<TaskEnded>(&record);
+  const auto* cancelled = std::get_if<JobCancelled>(&record);
+  const std::string id = ended != nullptr       ? ended->task.job
+                         : cancelled != nullptr ? cancelled->job
+                                                : "";
+  const JobEntry* job = ledger.FindJob(id);
+  if (job != nullptr && job->ended()) {
+    LogEvent("job_ended")
+        .With("job", id)
+        .With("phase", ToString(job->phase))
+        .With("known_for_ms", (BootTime() - job->seen).count())
+        .With("offset", offset);
+  }
+}
+
 void EntryNode::LogDecisions(const std::vector<LedgerRecord>& records,
                              std::int64_t position) const {
   for (const LedgerRecord& record : records) {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -60,6 +60,9 @@
   // so it never will be.
   bool AppendFenced(const std::vector<LedgerRecord>& records);
   void RaiseFence();
+  void LogEndOfJob(const Ledger& ledger,
+                   const LedgerRecord& record,
+                   std::int64_t offset) const;
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position) const;
 
--- a/src/node/job_desk.cc
+++ b/src/node/job_desk.cc
@@ -110,12 +110,18 @@
     return NotRun("the log cannot be reached");
   }
   const std::string id = request.id;
+  const JobStep first = request.steps.front();
   const LedgerWriter::Outcome outcome = writer_.AppendAndWait(
       JobSubmitted{.request = std::move(request)}, AppendDeadline(call));
   LogEvent("submit")
       .With("job", id)
       .With("queue", admitted.queue.terms.queue)
       .With("account", admitted.account)
+      .With("priority", admitted.queue.terms.priority)
+      .With("tasks", first.tasks)
+      .With("accelerators", first.need.accelerators)
+      .With("gang", first.gang)
+      .With("estimate_ms", first.estimate.count())
       .With("outcome", ToString(outcome))
       .With("took_ms", (BootTime() - call.arrived).count());
   switch (outcome) {
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -130,7 +130,9 @@
       LogEvent("record_unreadable").With("offset", r.offset);
       continue;
     }
-    ledger_.Apply(now, *record);
+    if (ledger_.Apply(now, *record) && on_record_) {
+      on_record_(ledger_, *record, r.offset);
+    }
   }
   if (view_.position >= read.end) {
     view_.as_of = sent;
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -37,6 +37,10 @@
   LedgerFollower(Options options, std::unique_ptr<LogStore> store);
   ~LedgerFollower();
 
+  // Called on the follower's thread with the ledger after each record.
+  using OnRecord = std::function<
+      void(const Ledger&, const LedgerRecord&, std::int64_t offset)>;
+  void SetOnRecord(OnRecord on_record) { on_record_ = std::move(on_record); }
   // Called on the follower's thread after records were lost unread.
   void SetOnGap(std::function<void()> on_gap) { on_gap_ = std::move(on_gap); }
   void Start();
@@ -63,6 +67,7 @@
   const Options options_;
   const std::unique_ptr<LogStore> store_;
   std::function<void()> on_gap_;
+  OnRecord on_record_;
   mutable std::shared_mutex ledger_mutex_;  // Guards ledger_ and view_.
   Ledger ledger_;
   LedgerView view_;
