Supervisor: ends are listed before a start of an earlier process is refused

The new agent listed its worker before it knew the ledger, so the listing settled nothing; then it tried the start again, the worker said that the run had been there, and the agent recorded a refusal ahead of the end. The planner started the task a second time. Ruled out: a start carried out late (the worker answered at once). Change: the listing that settles is sent only once the ledger is known; a start that is refused because the run was there before is settled by the list of ends. tests/unit/supervisor_test.cc has both; the first failed before.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -61,6 +61,8 @@
       return "refused";
     case OrderReply::Kind::kOutdated:
       return "outdated";
+    case OrderReply::Kind::kEndedBefore:
+      return "ended_before";
     case OrderReply::Kind::kUnhealthy:
       return "unhealthy";
     case OrderReply::Kind::kWrongLife:
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -261,6 +261,11 @@
     case OrderReply::Kind::kOutdated:
       run.phase = Phase::kOrdered;
       break;
+    case OrderReply::Kind::kEndedBefore:
+      // It may have ended as done: only the list of ends can tell.
+      run.phase = Phase::kUnsure;
+      settle_ = true;
+      break;
     case OrderReply::Kind::kRefused:
     case OrderReply::Kind::kUnhealthy:
       // An earlier try of the same run without an answer would have made it
@@ -295,7 +300,8 @@
 }
 
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
-  if (!worker_ || departed_ || fence_ == 0) {
+  // A listing settles only the runs that are known when it is sent.
+  if (!worker_ || departed_ || fence_ == 0 || (settle_ && !current_)) {
     return std::nullopt;
   }
   const Duration since = now - hold_sent_;
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -55,6 +55,7 @@
     kRefused,    // Not done, and not possible as asked: `reason`.
     kOutdated,   // Not done: the lease time had passed, or a newer fence is
                  // known.
+    kEndedBefore,  // Not done: this run, or a later one, has been there.
     kUnhealthy,  // Not done: the worker is not well.
     kWrongLife,  // Not done: another life answers there.
     kNoAnswer,   // It may be done, also later.
