Dispatcher: priority 0 may displace work beyond its guarantee

Ruled out: placement order (they were first in line); rack patience (not tight). Change: a unit of priority 0 that finds no room displaces lower priorities if the work lost stays under 1500 core-seconds.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -229,7 +229,8 @@
   if (!place) {
     place = FindPreemption(in.now, in.ledger, rooms, unit, true);
   }
-  if (!place) {
+  if (!place ||
+      (!unit.guaranteed && place->cost > options_.urgent_loss_limit)) {
     return false;
   }
   for (const TaskRef& task : place->victims) {
@@ -274,7 +275,7 @@
       }
       continue;
     }
-    if (unit.guaranteed) {
+    if (unit.guaranteed || unit.job->request.terms.priority == 0) {
       Reclaim(in, rooms, unit, stopped, out);
     }
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -30,6 +30,9 @@
     // A task whose data or gang is slower elsewhere waits for this part of its
     // estimate before it goes elsewhere.
     double rack_patience = 0.6;
+    // Work that a job of priority 0 beyond its guarantee may displace,
+    // core-seconds.
+    double urgent_loss_limit = 1500;
     // Run time assumed where none is declared or learned.
     Duration unknown_estimate{5000};
     // Earliest start of a timed run before its due time: none.
