--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -182,6 +182,24 @@
   return impl_->socket.address().toString();
 }
 
+void HttpServer::Leave() {
+  impl_->load.stopping = true;
+}
+
+bool HttpServer::AwaitIdle(Duration limit) const {
+  constexpr Duration kStep{10};
+  constexpr int kQuietSteps = 3;  // Between two requests of one connection.
+  int quiet = 0;
+  for (Duration waited{0}; waited < limit; waited += kStep) {
+    quiet = impl_->load.open > 0 ? 0 : quiet + 1;
+    if (quiet >= kQuietSteps) {
+      return true;
+    }
+    std::this_thread::sleep_for(kStep);
+  }
+  return false;
+}
+
 void HttpServer::Stop() {
   if (impl_->stopped) {
     return;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -52,7 +52,14 @@
 
   std::string address() const;  // "IP:port" with the port in use.
 
-  // Stops to accept connections and waits for the open requests.
+  // From here on each answer closes its connection, so that callers turn to
+  // another instance. Requests are served on.
+  void Leave();
+  // Waits until no request is open, or the time has passed. Returns true if
+  // none is.
+  bool AwaitIdle(Duration limit) const;
+  // Stops to accept connections and waits for the open requests and for idle
+  // connections to end, which may take as long as their idle time.
   void Stop();
 
  private:
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -155,11 +155,12 @@
   return true;
 }
 
-bool Ledger::On(Time, const PlannerResigned& r) {
+bool Ledger::On(Time now, const PlannerResigned& r) {
   if (r.epoch != planner_epoch_ || r.entry != planner_) {
     return false;
   }
   planner_.clear();
+  planner_seen_ = now;
   return true;
 }
 
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -17,6 +17,8 @@
 // The drive loop looks at least this often for what time alone decides.
 constexpr Duration kDriveTick = 100ms;
 constexpr Duration kHoldTick = 50ms;
+// Longest wait for open appends at the end.
+constexpr Duration kCloseLimit = 300ms;
 // Knowledge of the ledger that is older than this is not acted on: a poll and a
 // slow answer.
 constexpr Duration kFreshLedger = 1200ms;
@@ -114,6 +116,10 @@
   writer_.Drain(300ms);
 }
 
+void AgentNode::Close() {
+  writer_.Drain(kCloseLimit);
+}
+
 void AgentNode::Wake() {
   poked_ = true;
   wake_.notify_all();
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -40,6 +40,10 @@
   bool OnHeartbeat(const WorkerHeartbeat& heartbeat);  // False: an old life.
   void OnDeparture(const std::string& worker_id);
 
+  // Waits until what the worker said is stored. Its tasks go on under their
+  // leases, for the next run of this process.
+  void Close();
+
  private:
   void DriveLoop();
   void OrderLoop(std::unique_ptr<TaskEndpoint> endpoint);
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -29,6 +29,11 @@
 constexpr Duration kFreshLedger = 1200ms;
 constexpr Duration kFreshRules = 1500ms;
 
+// Longest wait for the resignation and for open appends at the end.
+constexpr Duration kCloseLimit = 700ms;
+// Vacancy after which an entry that is leaving takes the planning over.
+constexpr Duration kLeavingPatience = 150ms;
+
 std::string NewPlannerId(const std::string& name) {
   return name + "#" + std::to_string(std::random_device{}());
 }
@@ -71,6 +76,15 @@
   leaving_ = true;
 }
 
+void EntryNode::Close() {
+  resigning_ = true;
+  const Time end = BootTime() + kCloseLimit;
+  while (!resigned_ && BootTime() < end) {
+    std::this_thread::sleep_for(10ms);
+  }
+  writer_.Drain(kCloseLimit);
+}
+
 bool EntryNode::MayPlan(Time now) const {
   const LedgerView view = ledger_.view();
   const auto rules = rules_.view();
@@ -123,8 +137,11 @@
             std::max(ledger.planner_seen(), view.readable_since);
         const bool vacant =
             ledger.planner().empty() && ledger.planner_epoch() > 0;
+        // One that leaves itself lets the others go first.
+        const Duration patience = leaving_ ? kLeavingPatience : Duration(0);
         return std::pair(ledger.planner_epoch(),
-                         vacant || now - since > options_.planner_silence);
+                         vacant ? now - ledger.planner_seen() > patience
+                                : now - since > options_.planner_silence);
       });
   if (!silent) {
     return;
@@ -244,13 +261,16 @@
           return std::pair(ledger.planner(), ledger.planner_epoch());
         });
     const bool leads = planner == planner_id_;
-    if (leads && leaving_) {
-      AppendFenced({PlannerResigned{.entry = planner_id_, .epoch = epoch}});
-      LogEvent("planner_resigned").With("epoch", epoch);
+    if (resigning_) {
+      if (leads && !resigned_) {
+        AppendFenced({PlannerResigned{.entry = planner_id_, .epoch = epoch}});
+        LogEvent("planner_resigned").With("epoch", epoch);
+      }
+      resigned_ = true;
     } else if (leads) {
       Lead(now);
       SaveSnapshot(now);
-    } else if (!leaving_) {
+    } else {
       RunForPlanner(now);
     }
   }
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -42,8 +42,10 @@
   JobDesk& desk() { return desk_; }
   bool Ready() const;  // False while leaving.
 
-  // Gives the planning up and is not ready from here on; callers are served on.
+  // Not ready from here on; callers are served and plans are made on.
   void Leave();
+  // Gives the planning up, and waits until what was accepted is stored.
+  void Close();
 
  private:
   struct Fence {
@@ -79,6 +81,8 @@
   Time last_snapshot_{0};
   std::int64_t snapshot_position_ = 0;
   std::atomic<bool> leaving_{false};
+  std::atomic<bool> resigning_{false};
+  std::atomic<bool> resigned_{false};
   std::atomic<bool> stopping_{false};
   std::thread planner_thread_;
 };
