--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -74,6 +74,12 @@
   leavesInMs @8 :Int64;
 }
 
+struct EntryRelay {
+  entry @0 :Text;
+  dataCentre @1 :Text;
+  relay @2 :Text;
+}
+
 struct Record {
   union {
     jobSubmitted @0 :Job;
@@ -124,6 +130,7 @@
       run @29 :Int32;
       reason @30 :Text;
     }
+    entryStarted @38 :EntryRelay;
     runObserved :group {
       life @31 :Life;
       task @32 :Task;
@@ -192,4 +199,5 @@
   planner @6 :Text;
   plannerEpoch @7 :Int64;
   accepted @8 :Int64;
+  entries @9 :List(EntryRelay);
 }
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -114,6 +114,13 @@
   return true;
 }
 
+bool Ledger::On(Time, const EntryStarted& r) {
+  EntryStarted& entry = entries_[r.entry];
+  const bool changed = entry != r;
+  entry = r;
+  return changed;
+}
+
 bool Ledger::On(Time now, const WorkerReported& r) {
   AgentEntry& agent = agents_[r.agent];
   if (agent.life.born_ms > r.life.born_ms) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -94,6 +94,10 @@
   const std::map<std::string, JobEntry>& jobs() const { return jobs_; }
   const std::map<WorkerLife, WorkerEntry>& workers() const { return workers_; }
   const std::map<std::string, AgentEntry>& agents() const { return agents_; }
+  // By name, each at its last start; it may be gone.
+  const std::map<std::string, EntryStarted>& entries() const {
+    return entries_;
+  }
   const std::set<std::string>& open_jobs() const { return open_jobs_; }
 
   const std::string& planner() const { return planner_; }  // Empty: none.
@@ -113,6 +117,7 @@
   bool On(Time now, const JobSubmitted& r);
   bool On(Time now, const JobCancelled& r);
   bool On(Time now, const AgentBeat& r);
+  bool On(Time now, const EntryStarted& r);
   bool On(Time now, const WorkerReported& r);
   bool On(Time now, const WorkerEmptied& r);
   bool On(Time now, const PlannerElected& r);
@@ -143,6 +148,7 @@
   std::deque<std::string> ended_order_;  // Ended jobs, oldest first.
   std::map<WorkerLife, WorkerEntry> workers_;
   std::map<std::string, AgentEntry> agents_;
+  std::map<std::string, EntryStarted> entries_;
   std::string planner_;
   std::int64_t planner_epoch_ = 0;
   Time planner_seen_{0};
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -33,6 +33,9 @@
   w.setAgent(r.agent);
   w.setProcess(r.process);
 }
+void Write(const EntryStarted& r, Wire::Builder out) {
+  Put(r, out.initEntryStarted());
+}
 void Write(const WorkerReported& r, Wire::Builder out) {
   Put(r, out.initWorkerReported());
 }
@@ -106,6 +109,8 @@
       return AgentBeat{.agent = Get(w.getAgent()),
                        .process = Get(w.getProcess())};
     }
+    case Wire::ENTRY_STARTED:
+      return Get(in.getEntryStarted());
     case Wire::WORKER_REPORTED:
       return Get(in.getWorkerReported());
     case Wire::WORKER_EMPTIED: {
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -41,6 +41,14 @@
   friend bool operator==(const AgentBeat&, const AgentBeat&) = default;
 };
 
+// An entry has started and relays the log at an address.
+struct EntryStarted {
+  std::string entry;
+  std::string data_centre;
+  std::string relay;  // "IP:port".
+  friend bool operator==(const EntryStarted&, const EntryStarted&) = default;
+};
+
 // What an agent says of its worker: sent when it comes and when anything here
 // changes.
 struct WorkerReported {
@@ -159,6 +167,7 @@
 using LedgerRecord = std::variant<JobSubmitted,
                                   JobCancelled,
                                   AgentBeat,
+                                  EntryStarted,
                                   WorkerReported,
                                   WorkerEmptied,
                                   PlannerElected,
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -175,6 +175,11 @@
     a.setProcess(agent.process);
     a.setStarts(agent.starts);
   }
+  auto entries = out.initEntries(static_cast<unsigned>(ledger.entries_.size()));
+  n = 0;
+  for (const auto& [name, entry] : ledger.entries_) {
+    Put(entry, entries[n++]);
+  }
   out.setPlanner(ledger.planner_);
   out.setPlannerEpoch(ledger.planner_epoch_);
   out.setAccepted(ledger.accepted_);
@@ -219,6 +224,10 @@
                                                .starts = agent.getStarts(),
                                                .beat_seen = now};
     }
+    for (const auto entry : in.getEntries()) {
+      EntryStarted e = Get(entry);
+      ledger.entries_.emplace(e.entry, std::move(e));
+    }
     ledger.planner_ = Get(in.getPlanner());
     ledger.planner_epoch_ = in.getPlannerEpoch();
     ledger.planner_seen_ = now;
--- a/src/jobs/ledger_wire.cc
+++ b/src/jobs/ledger_wire.cc
@@ -105,6 +105,12 @@
   out.setLeavesInMs(in.leaves_in_ms);
 }
 
+void Put(const EntryStarted& in, EntryRelay::Builder out) {
+  out.setEntry(in.entry);
+  out.setDataCentre(in.data_centre);
+  out.setRelay(in.relay);
+}
+
 void Put(const MemberPlace& in, Member::Builder out) {
   out.setIndex(in.index);
   Put(in.life, out.initLife());
@@ -163,6 +169,12 @@
   return out;
 }
 
+EntryStarted Get(EntryRelay::Reader in) {
+  return {.entry = Get(in.getEntry()),
+          .data_centre = Get(in.getDataCentre()),
+          .relay = Get(in.getRelay())};
+}
+
 MemberPlace Get(Member::Reader in) {
   return {.index = in.getIndex(), .life = Get(in.getLife())};
 }
--- a/src/jobs/ledger_wire.h
+++ b/src/jobs/ledger_wire.h
@@ -18,6 +18,7 @@
 void Put(const WorkerLife& in, Life::Builder out);
 void Put(const TaskRef& in, Task::Builder out);
 void Put(const WorkerReported& in, Worker::Builder out);
+void Put(const EntryStarted& in, EntryRelay::Builder out);
 void Put(const MemberPlace& in, Member::Builder out);
 
 marjoramplank::Resources Get(Resources::Reader in);
@@ -25,6 +26,7 @@
 WorkerLife Get(Life::Reader in);
 TaskRef Get(Task::Reader in);
 WorkerReported Get(Worker::Reader in);
+EntryStarted Get(EntryRelay::Reader in);
 MemberPlace Get(Member::Reader in);
 std::vector<MemberPlace> Get(capnp::List<Member>::Reader in);
 std::string Get(capnp::Text::Reader in);
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -93,8 +93,8 @@
                      const EndpointFactory& open_endpoint)
     : options_(std::move(options)),
       ledger_({.records = options_.records, .snapshots = options_.snapshots},
-              open_store()),
-      writer_(options_.records, open_store()),
+              OpenRelayed(open_store)),
+      writer_(options_.records, OpenRelayed(open_store)),
       supervisor_(options_.supervisor) {
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
   ledger_.Start();
@@ -116,6 +116,18 @@
   writer_.Drain(300ms);
 }
 
+std::unique_ptr<LogStore> AgentNode::OpenRelayed(
+    const StoreFactory& open_store) {
+  return std::make_unique<RelayedLogStore>(
+      RelayedLogStore::Options{.relays =
+                                   [this] {
+                                     return RelaysOn(ledger_,
+                                                     options_.data_centre, "");
+                                   },
+                               .relays_first = true},
+      open_store());
+}
+
 void AgentNode::Close() {
   writer_.Drain(kCloseLimit);
 }
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -26,6 +26,7 @@
  public:
   struct Options {
     std::string name;        // Of the machine.
+    std::string data_centre;  // Where it stands.
     LogPartition records;    // The ledger.
     LogPartition snapshots;  // Keyed topic.
     Supervisor::Options supervisor;
@@ -45,6 +46,7 @@
   void Close();
 
  private:
+  std::unique_ptr<LogStore> OpenRelayed(const StoreFactory& open_store);
   void DriveLoop();
   void OrderLoop(std::unique_ptr<TaskEndpoint> endpoint);
   void HoldLoop(std::unique_ptr<TaskEndpoint> endpoint);
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -44,21 +44,32 @@
     : options_(std::move(options)),
       planner_id_(NewPlannerId(options_.name)),
       planner_store_(open_store()),
-      rules_({.partition = options_.rules}, open_store(),
-             options_.decode_rules),
       ledger_({.records = options_.records,
                .snapshots = options_.snapshots,
                .adopts = true},
-              open_store()),
-      writer_(options_.records, open_store()),
+              OpenRelayed(open_store)),
+      rules_({.partition = options_.rules}, OpenRelayed(open_store),
+             options_.decode_rules),
+      writer_(options_.records, OpenRelayed(open_store)),
+      relay_writer_(options_.records, open_store()),
+      relay_(options_.relay,
+             {{.partition = options_.records, .ring = &ledger_.ring()},
+              {.partition = options_.rules, .ring = &rules_.ring()}},
+             relay_writer_),
       desk_(options_.desk, rules_, ledger_, writer_),
       dispatcher_(options_.dispatch) {
   ledger_.SetOnRecord([this](const Ledger& ledger, const LedgerRecord& record,
                              std::int64_t offset) {
     LogEndOfJob(ledger, record, offset);
   });
-  ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
+  ledger_.SetOnGap([this] {
+    writer_.RepeatRecent();
+    relay_writer_.RepeatRecent();
+  });
   ledger_.Start();
+  writer_.Append({.record = EntryStarted{.entry = options_.name,
+                                         .data_centre = options_.data_centre,
+                                         .relay = options_.relay}});
   planner_thread_ = std::thread([this] { PlannerLoop(); });
 }
 
@@ -83,6 +94,35 @@
     std::this_thread::sleep_for(10ms);
   }
   writer_.Drain(kCloseLimit);
+  relay_writer_.Drain(kCloseLimit);
+}
+
+std::vector<std::string> RelaysOn(const LedgerFollower& ledger,
+                                  const std::string& data_centre,
+                                  const std::string& self) {
+  return ledger.Read([&](const Ledger& state, const LedgerView&) {
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& [name, entry] : state.entries()) {
+      if (name != self && !entry.relay.empty()) {
+        (entry.data_centre == data_centre ? near : far).push_back(entry.relay);
+      }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+  });
+}
+
+std::unique_ptr<LogStore> EntryNode::OpenRelayed(
+    const StoreFactory& open_store) {
+  return std::make_unique<RelayedLogStore>(
+      RelayedLogStore::Options{.relays =
+                                   [this] {
+                                     return RelaysOn(ledger_,
+                                                     options_.data_centre,
+                                                     options_.name);
+                                   }},
+      open_store());
 }
 
 bool EntryNode::MayPlan(Time now) const {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -9,6 +9,8 @@
 #include "src/dispatch/dispatcher.h"
 #include "src/node/job_desk.h"
 #include "src/node/rules_follower.h"
+#include "src/relay/relay_server.h"
+#include "src/relay/relayed_log_store.h"
 #include "src/store/ledger_follower.h"
 #include "src/store/ledger_writer.h"
 
@@ -17,12 +19,20 @@
 // Opens one more connection to the platform's log service.
 using StoreFactory = std::function<std::unique_ptr<LogStore>()>;
 
+// Relay addresses on the ledger, those of the data centre first, without the
+// one of `self`.
+std::vector<std::string> RelaysOn(const LedgerFollower& ledger,
+                                  const std::string& data_centre,
+                                  const std::string& self);
+
 // Runs an entry: follows the ledger and the rules, answers callers through the
 // job desk, and plans while it is the elected planner.
 class EntryNode {
  public:
   struct Options {
     std::string name;          // Of the machine.
+    std::string data_centre;   // Where it stands.
+    std::string relay;         // "IP:port" at which it relays the log.
     LogPartition records;      // The ledger.
     LogPartition snapshots;    // Keyed topic.
     LogPartition rules;        // Keyed topic of the operators.
@@ -31,8 +41,8 @@
     Dispatcher::Options dispatch;
     // The planner's heartbeat on the ledger, and the silence after which
     // another entry takes over: three beats and a slow answer of the store.
-    Duration planner_beat{500};
-    Duration planner_silence{1700};
+    Duration planner_beat{400};
+    Duration planner_silence{1300};
     Duration snapshot_interval{5000};  // A quarter of the shortest history.
   };
 
@@ -53,6 +63,7 @@
     std::int64_t sequence = 0;  // Next.
   };
 
+  std::unique_ptr<LogStore> OpenRelayed(const StoreFactory& open_store);
   void PlannerLoop();
   bool MayPlan(Time now) const;
   void RunForPlanner(Time now);
@@ -71,9 +82,11 @@
   const Options options_;
   const std::string planner_id_;  // Of this run of the process.
   std::unique_ptr<LogStore> planner_store_;
-  RulesFollower rules_;
   LedgerFollower ledger_;
+  RulesFollower rules_;
   LedgerWriter writer_;
+  LedgerWriter relay_writer_;
+  RelayServer relay_;
   JobDesk desk_;
   Dispatcher dispatcher_;
   Fence fence_;
--- a/src/node/rules_follower.cc
+++ b/src/node/rules_follower.cc
@@ -1,5 +1,6 @@
 #include "src/node/rules_follower.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -93,6 +94,7 @@
     Apply({.key = key, .value = "", .offset = newest.end - 1});
   }
   position_ = newest.end;
+  ring_.Restart(position_);
   Publish(sent);
   return true;
 }
@@ -127,8 +129,10 @@
       }
       position_ = r.offset + 1;
     }
-    if (position_ >= read.end) {
-      Publish(sent);
+    const bool whole = position_ >= read.end;
+    ring_.Add(read, whole ? sent - read.age : Time{0});
+    if (whole) {
+      Publish(std::max(current_.as_of, sent - read.age));
     }
   }
 }
--- a/src/node/rules_follower.h
+++ b/src/node/rules_follower.h
@@ -12,6 +12,7 @@
 #include "src/daemon/published.h"
 #include "src/rules/rules.h"
 #include "src/store/log_store.h"
+#include "src/store/record_ring.h"
 
 namespace marjoramplank {
 
@@ -33,6 +34,7 @@
                 Decoder decoder);
   ~RulesFollower();
 
+  RecordRing& ring() { return ring_; }  // What was read, for others.
   std::shared_ptr<const RulesView> view() const { return view_.Get(); }
 
  private:
@@ -47,6 +49,7 @@
   RulesView current_;  // On the follower's thread.
   std::map<std::string, std::int64_t> offsets_;  // Newest known of each key.
   std::int64_t position_ = -1;  // -1: reload from the newest of each key.
+  RecordRing ring_;
   Published<std::shared_ptr<const RulesView>> view_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
--- /dev/null
+++ b/src/relay/relay_client.cc
@@ -0,0 +1,156 @@
+#include "src/relay/relay_client.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+
+#include "src/relay/generated/relay.capnp.h"
+
+namespace marjoramplank {
+
+namespace {
+
+// A connection is made within this: two round trips between data centres and a
+// lost packet.
+constexpr Duration kConnectLimit = 300ms;
+
+// The event loop of the calling thread. KJ allows one a thread.
+kj::AsyncIoContext& ThreadIo() {
+  thread_local kj::AsyncIoContext io = kj::setupAsyncIo();
+  return io;
+}
+
+// KJ's timer knows the time of the loop's last turn. After a pause between two
+// calls that is long ago, and a limit would pass too early.
+void CatchUpTimer() {
+  ThreadIo().waitScope.poll();
+}
+
+template <typename T>
+kj::Promise<T> Within(kj::Promise<T>&& promise, Duration limit) {
+  return ThreadIo().provider->getTimer().timeoutAfter(
+      limit.count() * kj::MILLISECONDS, kj::mv(promise));
+}
+
+std::string Describe(const kj::Exception& e) {
+  return e.getDescription().cStr();
+}
+
+}  // namespace
+
+struct RelayClient::Connection {
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyClient rpc;
+  relay_wire::Relay::Client relay;
+
+  explicit Connection(kj::Own<kj::AsyncIoStream> s)
+      : stream(kj::mv(s)),
+        rpc(*stream),
+        relay(rpc.bootstrap().castAs<relay_wire::Relay>()) {}
+
+  static std::unique_ptr<Connection> Open(const std::string& address) {
+    kj::AsyncIoContext& io = ThreadIo();
+    auto connecting =
+        io.provider->getNetwork()
+            .parseAddress(address.c_str())
+            .then([](kj::Own<kj::NetworkAddress>&& parsed) {
+              auto promise = parsed->connect();
+              return promise.attach(kj::mv(parsed));
+            });
+    return std::make_unique<Connection>(
+        Within(kj::mv(connecting), kConnectLimit).wait(io.waitScope));
+  }
+};
+
+RelayClient::RelayClient(const std::string& address) : address_(address) {}
+RelayClient::~RelayClient() = default;
+
+ReadResult RelayClient::Read(const LogPartition& from,
+                             std::int64_t offset,
+                             Duration wait,
+                             Duration limit) {
+  ReadResult out;
+  CatchUpTimer();
+  const auto fault = kj::runCatchingExceptions([&] {
+    if (connection_ == nullptr) {
+      connection_ = Connection::Open(address_);
+    }
+    auto request = connection_->relay.readRequest();
+    request.setTopic(from.topic);
+    request.setPart(from.number);
+    request.setOffset(offset);
+    request.setWaitMs(wait.count());
+    auto sent = request.send();
+    const auto reply =
+        Within(kj::Promise<capnp::Response<relay_wire::Relay::ReadResults>>(
+                   kj::mv(sent)),
+               limit)
+            .wait(ThreadIo().waitScope);
+    if (!reply.getKnown() || !reply.getKept()) {
+      out.reason = "the entry does not have records that far back";
+      return;
+    }
+    out.first = reply.getFirst();
+    out.end = reply.getEnd();
+    out.age = Duration(reply.getAgeMs());
+    for (const auto r : reply.getRecords()) {
+      const auto bytes = r.getBytes();
+      out.records.push_back(
+          {.offset = r.getOffset(),
+           .bytes = {reinterpret_cast<const char*>(bytes.begin()),
+                     bytes.size()}});
+    }
+    out.kind = ReadResult::Kind::kOk;
+  });
+  KJ_IF_MAYBE(e, fault) {
+    connection_.reset();
+    out.kind = ReadResult::Kind::kFailed;
+    out.reason = Describe(*e);
+  }
+  return out;
+}
+
+AppendResult RelayClient::Append(const std::vector<std::string>& records,
+                                 Duration limit) {
+  AppendResult out;
+  bool sent = false;
+  CatchUpTimer();
+  const auto fault = kj::runCatchingExceptions([&] {
+    if (connection_ == nullptr) {
+      connection_ = Connection::Open(address_);
+    }
+    auto request = connection_->relay.appendRequest();
+    auto list = request.initRecords(static_cast<unsigned>(records.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      list.set(i, kj::arrayPtr(
+                      reinterpret_cast<const kj::byte*>(records[i].data()),
+                      records[i].size()));
+    }
+    request.setLimitMs(limit.count());
+    sent = true;
+    auto promise = request.send();
+    const auto reply =
+        Within(kj::Promise<capnp::Response<relay_wire::Relay::AppendResults>>(
+                   kj::mv(promise)),
+               limit)
+            .wait(ThreadIo().waitScope);
+    constexpr std::uint8_t kStored = 0;
+    constexpr std::uint8_t kNotStored = 1;
+    out.kind = reply.getOutcome() == kStored ? AppendResult::Kind::kStored
+               : reply.getOutcome() == kNotStored
+                   ? AppendResult::Kind::kRefused
+                   : AppendResult::Kind::kUnknown;
+    out.reason = "the entry could not store it for sure";
+  });
+  KJ_IF_MAYBE(e, fault) {
+    connection_.reset();
+    out.kind = sent ? AppendResult::Kind::kUnknown
+                    : AppendResult::Kind::kRefused;
+    out.reason = Describe(*e);
+  }
+  return out;
+}
+
+}  // namespace marjoramplank
--- /dev/null
+++ b/src/relay/relay_server.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/daemon/event_loop.h"
+#include "src/store/ledger_writer.h"
+#include "src/store/record_ring.h"
+
+namespace marjoramplank {
+
+// Lets other processes read what this entry has read of the log, and append
+// through it. One hop: what it appends goes to the log service directly.
+class RelayServer {
+ public:
+  struct Partition {
+    LogPartition partition;
+    RecordRing* ring = nullptr;
+  };
+
+  // The writer must append to the log service directly.
+  RelayServer(const std::string& address,
+              std::vector<Partition> partitions,
+              LedgerWriter& writer);
+  ~RelayServer();
+  RelayServer(const RelayServer&) = delete;
+  RelayServer& operator=(const RelayServer&) = delete;
+
+ private:
+  class Service;
+  struct Waiters;
+
+  void Wake();
+
+  std::shared_ptr<Waiters> waiters_;
+  std::vector<Partition> partitions_;
+  EventLoop loop_;
+  struct Listening;
+  std::unique_ptr<Listening> listening_;  // On the loop's thread.
+};
+
+}  // namespace marjoramplank
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -1,5 +1,6 @@
 #include "src/store/ledger_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/jobs/ledger_codec.h"
@@ -84,6 +85,7 @@
     }
     view_.loaded = true;
   }
+  ring_.Restart(view_.position);
   LogEvent("ledger_restored")
       .With("position", view_.position)
       .With("from_snapshot", search.found.has_value());
@@ -135,8 +137,9 @@
     }
   }
   if (view_.position >= read.end) {
-    view_.as_of = sent;
+    view_.as_of = std::max(view_.as_of, sent - read.age);
   }
+  ring_.Add(read, view_.position >= read.end ? sent - read.age : Time{0});
 }
 
 void LedgerFollower::Loop() {
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -12,6 +12,7 @@
 
 #include "src/jobs/ledger.h"
 #include "src/store/log_store.h"
+#include "src/store/record_ring.h"
 
 namespace marjoramplank {
 
@@ -37,6 +38,7 @@
   LedgerFollower(Options options, std::unique_ptr<LogStore> store);
   ~LedgerFollower();
 
+  RecordRing& ring() { return ring_; }  // What was read, for others.
   // Called on the follower's thread with the ledger after each record.
   using OnRecord = std::function<
       void(const Ledger&, const LedgerRecord&, std::int64_t offset)>;
@@ -74,6 +76,7 @@
   mutable std::mutex change_mutex_;
   mutable std::condition_variable changed_;
   std::uint64_t version_ = 0;
+  RecordRing ring_;
   Time gap_since_{0};  // 0: none.
   std::atomic<bool> stopping_{false};
   std::thread thread_;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -54,6 +54,7 @@
   Kind kind = Kind::kFailed;
   std::int64_t first = 0;  // First offset that is kept.
   std::int64_t end = 0;    // One past the last record.
+  Duration age{0};  // The end was this old when the answer was given.
   std::vector<LogRecordBytes> records;
   std::string reason;  // For the log, when failed.
 };
--- /dev/null
+++ b/src/store/record_ring.cc
@@ -0,0 +1,73 @@
+#include "src/store/record_ring.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramplank {
+
+namespace {
+
+// Bytes kept. At 7 KB a second this is more than 10 minutes.
+constexpr std::size_t kRingBytes = 4U << 20;
+constexpr std::size_t kRecordOverhead = 64;  // Bytes of bookkeeping.
+// Bytes of one answer.
+constexpr std::size_t kSliceBytes = 256U << 10;
+
+}  // namespace
+
+void RecordRing::Restart(std::int64_t at) {
+  const std::lock_guard lock(mutex_);
+  records_.clear();
+  bytes_ = 0;
+  end_ = at;
+}
+
+void RecordRing::Add(const ReadResult& read, Time as_of) {
+  std::function<void()> on_change;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const LogRecordBytes& r : read.records) {
+      if (r.offset < end_) {
+        continue;
+      }
+      records_.push_back(r);
+      bytes_ += r.bytes.size() + kRecordOverhead;
+      end_ = r.offset + 1;
+      on_change = on_change_;
+    }
+    while (bytes_ > kRingBytes) {
+      bytes_ -= records_.front().bytes.size() + kRecordOverhead;
+      records_.pop_front();
+    }
+    as_of_ = std::max(as_of_, as_of);
+  }
+  if (on_change) {
+    on_change();
+  }
+}
+
+RecordRing::Slice RecordRing::From(std::int64_t offset) const {
+  const std::lock_guard lock(mutex_);
+  Slice out{.known = end_ >= 0, .end = end_, .as_of = as_of_};
+  out.first = records_.empty() ? end_ : records_.front().offset;
+  out.kept = out.known && offset >= out.first;
+  if (!out.kept) {
+    return out;
+  }
+  std::size_t bytes = 0;
+  auto it = std::lower_bound(
+      records_.begin(), records_.end(), offset,
+      [](const LogRecordBytes& r, std::int64_t n) { return r.offset < n; });
+  for (; it != records_.end() && bytes < kSliceBytes; ++it) {
+    bytes += it->bytes.size();
+    out.records.push_back(*it);
+  }
+  return out;
+}
+
+void RecordRing::SetOnChange(std::function<void()> on_change) {
+  const std::lock_guard lock(mutex_);
+  on_change_ = std::move(on_change);
+}
+
+}  // namespace marjoramplank
