--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -406,6 +406,7 @@
 
 void Ledger::EndJob(JobEntry& job, JobPhase phase) {
   job.phase = phase;
+  ++ended_;
   const std::string& id = job.request.id;
   open_jobs_.erase(id);
   if (phase != JobPhase::kCompleted) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -104,6 +104,8 @@
   std::int64_t planner_epoch() const { return planner_epoch_; }
   Time planner_seen() const { return planner_seen_; }  // Last beat read.
 
+  // Jobs that have ended since this process began to replay.
+  std::int64_t ended_jobs() const { return ended_; }
   // Jobs of a queue of which no task has started.
   std::int32_t WaitingJobs(const std::string& queue) const;
   // True if every step that this one depends on is done.
@@ -153,6 +155,7 @@
   std::int64_t planner_epoch_ = 0;
   Time planner_seen_{0};
   std::int64_t accepted_ = 0;
+  std::int64_t ended_ = 0;  // Not replicated.
 };
 
 // Ended jobs that stay known, so that their state can be asked for. At 59,000
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -93,7 +93,7 @@
                      const EndpointFactory& open_endpoint)
     : options_(std::move(options)),
       ledger_({.records = options_.records, .snapshots = options_.snapshots},
-              OpenRelayed(open_store)),
+              OpenRelayed(open_store), OpenRelayed(open_store)),
       writer_(options_.records, OpenRelayed(open_store)),
       supervisor_(options_.supervisor) {
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr char kProducer[] = "planner";
+constexpr char kRunMark[] = "#";  // Between a machine's name and the run.
 // Producer epochs of one planner epoch; a planner that loses this many answers
 // without a new election does not occur.
 constexpr std::int64_t kFencesOfEpoch = 100'000;
@@ -35,7 +36,7 @@
 constexpr Duration kLeavingPatience = 150ms;
 
 std::string NewPlannerId(const std::string& name) {
-  return name + "#" + std::to_string(std::random_device{}());
+  return name + kRunMark + std::to_string(std::random_device{}());
 }
 
 }  // namespace
@@ -47,7 +48,7 @@
       ledger_({.records = options_.records,
                .snapshots = options_.snapshots,
                .adopts = true},
-              OpenRelayed(open_store)),
+              OpenRelayed(open_store), open_store()),
       rules_({.partition = options_.rules}, OpenRelayed(open_store),
              options_.decode_rules),
       writer_(options_.records, OpenRelayed(open_store)),
@@ -62,6 +63,8 @@
                              std::int64_t offset) {
     LogEndOfJob(ledger, record, offset);
   });
+  writer_.SetOnStored([this](std::int64_t end) { ledger_.Expect(end); });
+  relay_writer_.SetOnStored([this](std::int64_t end) { ledger_.Expect(end); });
   ledger_.SetOnGap([this] {
     writer_.RepeatRecent();
     relay_writer_.RepeatRecent();
@@ -156,8 +159,10 @@
       kAppendLimit);
   if (result.kind == AppendResult::Kind::kStored) {
     ++fence_.sequence;
-    ledger_.WaitFor(result.offset + static_cast<std::int64_t>(bytes.size()),
-                    kReadBack);
+    const std::int64_t end =
+        result.offset + static_cast<std::int64_t>(bytes.size());
+    ledger_.Expect(end);
+    ledger_.WaitFor(end, kReadBack);
     return true;
   }
   LogEvent("planner_append_failed")
@@ -175,8 +180,11 @@
       ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
         const Time since =
             std::max(ledger.planner_seen(), view.readable_since);
+        // Nobody plans, or an earlier run of this very process did.
         const bool vacant =
-            ledger.planner().empty() && ledger.planner_epoch() > 0;
+            ledger.planner_epoch() > 0 &&
+            (ledger.planner().empty() ||
+             ledger.planner().starts_with(options_.name + kRunMark));
         // One that leaves itself lets the others go first.
         const Duration patience = leaving_ ? kLeavingPatience : Duration(0);
         return std::pair(ledger.planner_epoch(),
@@ -194,7 +202,7 @@
 
 void EntryNode::LogEndOfJob(const Ledger& ledger,
                             const LedgerRecord& record,
-                            std::int64_t offset) const {
+                            std::int64_t offset) {
   if (ledger.planner() != planner_id_) {
     return;  // One line for all entries.
   }
@@ -204,7 +212,8 @@
                          : cancelled != nullptr ? cancelled->job
                                                 : "";
   const JobEntry* job = ledger.FindJob(id);
-  if (job != nullptr && job->ended()) {
+  if (job != nullptr && job->ended() && ledger.ended_jobs() != ended_jobs_) {
+    ended_jobs_ = ledger.ended_jobs();
     LogEvent("job_ended")
         .With("job", id)
         .With("phase", ToString(job->phase))
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -75,7 +75,7 @@
   void RaiseFence();
   void LogEndOfJob(const Ledger& ledger,
                    const LedgerRecord& record,
-                   std::int64_t offset) const;
+                   std::int64_t offset);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position) const;
 
@@ -90,6 +90,7 @@
   JobDesk desk_;
   Dispatcher dispatcher_;
   Fence fence_;
+  std::int64_t ended_jobs_ = 0;  // Seen so far; on the follower's thread.
   Time last_beat_{0};
   Time last_snapshot_{0};
   std::int64_t snapshot_position_ = 0;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -91,6 +91,14 @@
   }
 
   kj::Promise<void> append(AppendContext context) override {
+    if (open_appends_ > 0 && writer_.failing()) {
+      // Cut off itself: the caller has other ways. One append at a time is let
+      // through to find out when that is over.
+      constexpr auto kNotStored =
+          static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
+      context.getResults().setOutcome(kNotStored);
+      return kj::READY_NOW;
+    }
     auto pair = kj::newPromiseAndCrossThreadFulfiller<std::uint8_t>();
     using Shared = kj::Own<kj::CrossThreadPromiseFulfiller<std::uint8_t>>;
     auto done = std::make_shared<Shared>(kj::mv(pair.fulfiller));
@@ -120,7 +128,9 @@
     if (records.size() == 0) {
       return kj::READY_NOW;
     }
-    return pair.promise.then([context](std::uint8_t outcome) mutable {
+    ++open_appends_;
+    return pair.promise.then([this, context](std::uint8_t outcome) mutable {
+      --open_appends_;
       context.getResults().setOutcome(outcome);
     });
   }
@@ -159,6 +169,7 @@
   const std::vector<Partition>& partitions_;
   LedgerWriter& writer_;
   kj::Timer& timer_;
+  int open_appends_ = 0;
 };
 
 struct RelayServer::Listening : kj::TaskSet::ErrorHandler {
--- a/src/relay/relayed_log_store.h
+++ b/src/relay/relayed_log_store.h
@@ -23,8 +23,8 @@
     Duration relay_age_limit{900};
     // A way that failed is not tried for this long, unless all failed;
     // doubled with each failure in a row.
-    Duration avoid{1000};
-    Duration avoid_max{8000};
+    Duration avoid{400};
+    Duration avoid_max{3000};
   };
 
   RelayedLogStore(Options options, std::unique_ptr<LogStore> direct);
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -15,6 +15,11 @@
 // Time beyond the poll within which a read must be answered; a connection that
 // went silent is given up after it.
 constexpr Duration kReadSlack = 700ms;
+// A record that is known to be stored is read on the second connection if it
+// has not come for this long: several usual answers of the store.
+constexpr Duration kCatchUpAfter = 60ms;
+constexpr Duration kCatchUpLimit = 500ms;  // Of that read.
+constexpr Duration kIdleTick = 500ms;
 // Pause after a failed read.
 constexpr Duration kRetryPause = 60ms;
 // After a gap: how long a snapshot of somebody who read further is waited for
@@ -23,18 +28,25 @@
 
 }  // namespace
 
-LedgerFollower::LedgerFollower(Options options, std::unique_ptr<LogStore> store)
-    : options_(std::move(options)), store_(std::move(store)) {}
+LedgerFollower::LedgerFollower(Options options,
+                               std::unique_ptr<LogStore> store,
+                               std::unique_ptr<LogStore> second)
+    : options_(std::move(options)),
+      store_(std::move(store)),
+      second_(std::move(second)) {}
 
 LedgerFollower::~LedgerFollower() {
   stopping_ = true;
+  changed_.notify_all();
   if (thread_.joinable()) {
     thread_.join();
+    catch_up_thread_.join();
   }
 }
 
 void LedgerFollower::Start() {
   thread_ = std::thread([this] { Loop(); });
+  catch_up_thread_ = std::thread([this] { CatchUpLoop(); });
 }
 
 LedgerView LedgerFollower::view() const {
@@ -42,6 +54,14 @@
   return view_;
 }
 
+void LedgerFollower::Expect(std::int64_t end) {
+  {
+    const std::lock_guard lock(change_mutex_);
+    expected_ = std::max(expected_, end);
+  }
+  changed_.notify_all();
+}
+
 bool LedgerFollower::WaitFor(std::int64_t position, Duration limit) const {
   const Time end = BootTime() + limit;
   std::unique_lock lock(change_mutex_);
@@ -123,8 +143,8 @@
   const Time now = BootTime();
   const std::unique_lock lock(ledger_mutex_);
   for (const LogRecordBytes& r : read.records) {
-    if (r.offset < view_.position) {
-      continue;
+    if (r.offset != view_.position) {
+      continue;  // The other connection was faster.
     }
     view_.position = r.offset + 1;
     const std::optional<LedgerRecord> record = DecodeRecord(r.bytes);
@@ -142,6 +162,30 @@
   ring_.Add(read, view_.position >= read.end ? sent - read.age : Time{0});
 }
 
+void LedgerFollower::CatchUpLoop() {
+  while (!stopping_) {
+    {
+      std::unique_lock lock(change_mutex_);
+      if (expected_ <= view().position) {
+        changed_.wait_for(lock, kIdleTick);
+        continue;
+      }
+    }
+    const std::int64_t position = view().position;
+    std::this_thread::sleep_for(kCatchUpAfter);
+    if (!view().loaded || view().position != position) {
+      continue;
+    }
+    const Time sent = BootTime();
+    const ReadResult read = second_->Read(options_.records, position,
+                                          Duration(0), kCatchUpLimit);
+    if (read.kind == ReadResult::Kind::kOk) {
+      ApplyAll(read, sent);
+      Announce();
+    }
+  }
+}
+
 void LedgerFollower::Loop() {
   bool readable = false;
   while (!stopping_) {
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -35,9 +35,15 @@
                           // publishes its own state as the new beginning.
   };
 
-  LedgerFollower(Options options, std::unique_ptr<LogStore> store);
+  // `second` reads what the first connection does not bring in time.
+  LedgerFollower(Options options,
+                 std::unique_ptr<LogStore> store,
+                 std::unique_ptr<LogStore> second);
   ~LedgerFollower();
 
+  // Says that the log reaches at least this far. If the waiting read does not
+  // bring it soon, it is read at once on the second connection.
+  void Expect(std::int64_t end);
   RecordRing& ring() { return ring_; }  // What was read, for others.
   // Called on the follower's thread with the ledger after each record.
   using OnRecord = std::function<
@@ -64,10 +70,12 @@
   bool Restore(std::int64_t least);
   void HandleGap(std::int64_t first);
   void ApplyAll(const ReadResult& read, Time sent);
+  void CatchUpLoop();
   void Announce();
 
   const Options options_;
   const std::unique_ptr<LogStore> store_;
+  const std::unique_ptr<LogStore> second_;
   std::function<void()> on_gap_;
   OnRecord on_record_;
   mutable std::shared_mutex ledger_mutex_;  // Guards ledger_ and view_.
@@ -76,10 +84,12 @@
   mutable std::mutex change_mutex_;
   mutable std::condition_variable changed_;
   std::uint64_t version_ = 0;
+  std::int64_t expected_ = 0;  // Under change_mutex_.
   RecordRing ring_;
   Time gap_since_{0};  // 0: none.
   std::atomic<bool> stopping_{false};
   std::thread thread_;
+  std::thread catch_up_thread_;
 };
 
 }  // namespace marjoramplank
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -162,12 +162,16 @@
                                         kAppendLimit);
     const AppendResult result = store_->Append(partition_, records, {}, limit);
     if (result.kind == AppendResult::Kind::kStored) {
-      last_stored_ = sent;
+      failing_ = false;
       pause = kFirstPause;
+      if (on_stored_) {
+        on_stored_(result.offset + static_cast<std::int64_t>(batch.size()));
+      }
       Remember(batch, BootTime());
       Settle(batch, Outcome::kStored, sent);
       continue;
     }
+    failing_ = true;
     LogEvent("append_failed")
         .With("records", records.size())
         .With("settled", result.kind == AppendResult::Kind::kRefused)
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -37,6 +37,13 @@
   LedgerWriter(LogPartition partition, std::unique_ptr<LogStore> store);
   ~LedgerWriter();
 
+  // Called on the writer's thread with the end of what has been stored.
+  void SetOnStored(std::function<void(std::int64_t end)> on_stored) {
+    on_stored_ = std::move(on_stored);
+  }
+  // True while the last append had no success; others may have a better way.
+  bool failing() const { return failing_; }
+
   void Append(Item item);
   Outcome AppendAndWait(LedgerRecord record, Time deadline);
 
@@ -46,7 +53,6 @@
 
   // Waits until everything is stored, or the time has passed.
   void Drain(Duration limit);
-  Time last_stored() const { return last_stored_.load(); }  // kNever - never.
 
  private:
   struct Pending {
@@ -72,7 +78,8 @@
   std::deque<Pending> queue_;
   std::deque<Recent> recent_;
   bool in_flight_ = false;
-  std::atomic<Time> last_stored_{Time{0}};
+  std::function<void(std::int64_t)> on_stored_;
+  std::atomic<bool> failing_{false};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
