--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -169,8 +169,8 @@
   params->setMaxKeepAliveRequests(0);
   params->setTimeout(Poco::Timespan(options.idle_s, 0));
   impl_->server = std::make_unique<Poco::Net::HTTPServer>(
-      new Factory(impl_->handler, impl_->options, impl_->load),
-      impl_->pool, impl_->socket, params);
+      new Factory(impl_->handler, impl_->options, impl_->load), impl_->pool,
+      impl_->socket, params);
   impl_->server->start();
 }
 
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -19,7 +19,7 @@
   std::string traceparent;
   std::string host;           // Host header, port included.
   std::string authorization;  // Authorization header.
-  Duration patience{0};  // How long the caller waits. 0: it did not say.
+  Duration patience{0};       // How long the caller waits. 0: it did not say.
 };
 
 struct HttpResponse {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -46,8 +46,8 @@
       continue;
     }
     const WorkerRoom room{.worker = worker,
-                    .free = worker->report.capacity - worker->used,
-                    .distrusted = IsDistrusted(in, *worker)};
+                          .free = worker->report.capacity - worker->used,
+                          .distrusted = IsDistrusted(in, *worker)};
     rooms.Add(agent.life, room);
   }
   return rooms;
@@ -143,8 +143,8 @@
     unit.guaranteed = guaranteed.contains(unit.first.job);
   }
   const auto rank = [](const WaitingUnit& u) {
-    return std::tuple(!u.guaranteed, u.job->request.terms.priority,
-                      u.objective, u.job->order, u.first);
+    return std::tuple(!u.guaranteed, u.job->request.terms.priority, u.objective,
+                      u.job->order, u.first);
   };
   std::sort(out.begin(), out.end(),
             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
@@ -190,17 +190,16 @@
                                         const RoomTable& rooms,
                                         const WaitingUnit& unit) const {
   const Duration waited = in.now - unit.due;
-  const auto estimate = static_cast<double>(
-      (unit.step->estimate > 0ms ? unit.step->estimate
-                                 : options_.unknown_estimate)
-          .count());
+  const auto estimate = static_cast<double>((unit.step->estimate > 0ms
+                                                 ? unit.step->estimate
+                                                 : options_.unknown_estimate)
+                                                .count());
   const bool tight = unit.step->gang && unit.step->same_rack;
-  const bool bound = (tight && FitsSomeRack(rooms, unit)) ||
-                     (!unit.step->data_rack.empty() &&
-                      DataRackExists(rooms, unit));
-  const bool patient =
-      bound && static_cast<double>(waited.count()) <
-                   options_.rack_patience * estimate;
+  const bool bound =
+      (tight && FitsSomeRack(rooms, unit)) ||
+      (!unit.step->data_rack.empty() && DataRackExists(rooms, unit));
+  const bool patient = bound && static_cast<double>(waited.count()) <
+                                    options_.rack_patience * estimate;
   for (const bool repeat : {false, true}) {
     for (const bool any_rack : {false, true}) {
       if (any_rack && patient) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "src/dispatch/placement.h"
-#include "src/jobs/ledger.h"
 #include "src/jobs/lease_rules.h"
+#include "src/jobs/ledger.h"
 #include "src/rules/rules.h"
 
 namespace marjoramplank {
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -72,10 +72,10 @@
     const std::int32_t fits = MembersThatFit(unit, room, room.free);
     if (fits > 0) {
       constexpr std::int64_t kMilli = 1'000'000;
-      out.push_back({.life = life,
-                     .fits = fits,
-                     .left = room.free.accelerators * kMilli +
-                             room.free.cpu_milli});
+      out.push_back(
+          {.life = life,
+           .fits = fits,
+           .left = room.free.accelerators * kMilli + room.free.cpu_milli});
     }
   }
   // Fullest first: best fit.
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -17,8 +17,8 @@
 
 // How free room is searched.
 struct PlaceRules {
-  bool any_rack = false;      // Tight gangs may spread, data may be far away.
-  bool distrusted = false;    // Also workers that failed lately.
+  bool any_rack = false;       // Tight gangs may spread, data may be far away.
+  bool distrusted = false;     // Also workers that failed lately.
   bool repeat_worker = false;  // Also workers where this unit failed before.
 };
 
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -66,8 +66,8 @@
   Freed out{.life = room.worker->report.life};
   Resources free = room.free;
   out.fits = std::min(wanted, MembersThatFit(unit, room, free));
-  std::vector<Victim> victims = Victims(
-      now, ledger, *room.worker, unit.job->request.terms.priority);
+  std::vector<Victim> victims =
+      Victims(now, ledger, *room.worker, unit.job->request.terms.priority);
   std::vector<Victim> pending;
   for (const Victim& v : victims) {
     if (out.fits >= wanted) {
@@ -144,8 +144,7 @@
   if (job == nullptr || job->ended()) {
     return 0;
   }
-  const JobStep& step =
-      job->request.steps[static_cast<std::size_t>(task.step)];
+  const JobStep& step = job->request.steps[static_cast<std::size_t>(task.step)];
   double seconds = ToSeconds(now - run.since);
   if (step.checkpoints) {
     seconds = std::min(seconds, kUnsavedSeconds);
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -16,7 +16,9 @@
                                     bool any_rack);
 
 // Core-seconds that stopping the run now would throw away.
-double WorkLost(Time now, const Ledger& ledger, const TaskRef& task,
+double WorkLost(Time now,
+                const Ledger& ledger,
+                const TaskRef& task,
                 const LiveRun& run);
 
 }  // namespace marjoramplank
--- a/src/dispatch/room.h
+++ b/src/dispatch/room.h
@@ -11,8 +11,8 @@
 // Room of one worker while a plan is made.
 struct WorkerRoom {
   const WorkerEntry* worker = nullptr;
-  Resources free;          // Not used and not set aside.
-  bool distrusted = false;  // Failed or refused lately.
+  Resources free;                           // Not used and not set aside.
+  bool distrusted = false;                  // Failed or refused lately.
   std::map<TaskRef, std::int32_t> planned;  // Tasks of a step in this plan.
 };
 
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -10,11 +10,11 @@
   const JobStep* step = nullptr;
   const RunUnit* unit = nullptr;
   TaskRef first;
-  std::int32_t tasks = 1;    // Members.
-  Resources need;            // Of each, as counted against a worker.
-  Time due{0};               // Since when it could have run.
-  Time objective{0};         // It should be done by then.
-  bool guaranteed = false;   // Within its account's guarantee.
+  std::int32_t tasks = 1;   // Members.
+  Resources need;           // Of each, as counted against a worker.
+  Time due{0};              // Since when it could have run.
+  Time objective{0};        // It should be done by then.
+  bool guaranteed = false;  // Within its account's guarantee.
 };
 
 }  // namespace marjoramplank
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -49,7 +49,7 @@
 
 // Runs of all steps at stated times.
 struct Recurrence {
-  std::int32_t times = 0;             // 0: once, at once.
+  std::int32_t times = 0;              // 0: once, at once.
   std::int64_t first_due_unix_ms = 0;  // Due time of the first.
   std::int64_t interval_ms = 0;        // Between two due times.
 
@@ -100,8 +100,8 @@
 std::vector<std::string> CheckJobRequest(const JobRequest& request);
 
 // Limits of a request.
-inline constexpr std::int32_t kMaxSteps = 64;             // Steps of a job.
-inline constexpr std::int32_t kMaxTasksOfJob = 20'000;    // Over occurrences.
+inline constexpr std::int32_t kMaxSteps = 64;              // Steps of a job.
+inline constexpr std::int32_t kMaxTasksOfJob = 20'000;     // Over occurrences.
 inline constexpr std::size_t kMaxJobPayloadBytes = 4'000;  // Bytes.
 
 }  // namespace marjoramplank
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -80,7 +80,8 @@
   for (int k = 0; k < times; ++k) {
     std::vector<StepState>& steps = job.occurrences.emplace_back();
     for (const JobStep& step : r.request.steps) {
-      const std::size_t n = step.gang ? 1 : static_cast<std::size_t>(step.tasks);
+      const std::size_t n =
+          step.gang ? 1 : static_cast<std::size_t>(step.tasks);
       steps.push_back({.units = std::vector<RunUnit>(n)});
     }
   }
@@ -187,7 +188,8 @@
   const std::size_t u = static_cast<std::size_t>(r.first.index);
   if (u >= units.size() || units[u].phase != RunUnit::Phase::kWaiting ||
       r.run != units[u].run + 1 ||
-      r.members.size() != static_cast<std::size_t>(step.gang ? step.tasks : 1)) {
+      r.members.size() !=
+          static_cast<std::size_t>(step.gang ? step.tasks : 1)) {
     return false;
   }
   return std::all_of(r.members.begin(), r.members.end(), [&](const auto& m) {
@@ -201,7 +203,8 @@
     return false;
   }
   JobEntry& job = jobs_.at(r.first.job);
-  const JobStep& step = job.request.steps[static_cast<std::size_t>(r.first.step)];
+  const JobStep& step =
+      job.request.steps[static_cast<std::size_t>(r.first.step)];
   RunUnit& unit = *FindUnit(r.first);
   unit.phase = RunUnit::Phase::kRunning;
   unit.run = r.run;
@@ -364,9 +367,9 @@
   }
   unit.failed_in_run = true;
   ++unit.failures;
-  const bool lasting = std::all_of(
-      job.request.steps.begin(), job.request.steps.end(),
-      [](const JobStep& step) { return step.lasting; });
+  const bool lasting =
+      std::all_of(job.request.steps.begin(), job.request.steps.end(),
+                  [](const JobStep& step) { return step.lasting; });
   if (unit.failures >= job.request.terms.max_attempts && !lasting) {
     EndJob(job, JobPhase::kFailed);
   }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -19,12 +19,12 @@
 struct RunUnit {
   enum class Phase : std::uint8_t { kWaiting, kRunning, kDone };
   Phase phase = Phase::kWaiting;
-  bool failed_in_run = false;   // This run has been counted as failed.
-  bool stop_requested = false;  // By the planner.
-  std::int32_t run = 0;         // Highest number used.
-  std::int32_t failures = 0;    // Runs that ended as failed.
-  std::int32_t unsettled = 0;   // Members of this run that have not ended.
-  std::string checkpoint;       // Newest. Empty: none.
+  bool failed_in_run = false;        // This run has been counted as failed.
+  bool stop_requested = false;       // By the planner.
+  std::int32_t run = 0;              // Highest number used.
+  std::int32_t failures = 0;         // Runs that ended as failed.
+  std::int32_t unsettled = 0;        // Members of this run that have not ended.
+  std::string checkpoint;            // Newest. Empty: none.
   std::vector<MemberPlace> members;  // Of the current run.
   std::set<WorkerLife> failed_on;    // Workers where a run failed.
 
@@ -63,20 +63,20 @@
 
 struct WorkerEntry {
   WorkerReported report;
-  bool gone = false;            // The life has ended.
-  std::int64_t last_end = 0;    // Highest number of an end on the log.
-  Resources used;               // By `runs`.
+  bool gone = false;          // The life has ended.
+  std::int64_t last_end = 0;  // Highest number of an end on the log.
+  Resources used;             // By `runs`.
   std::map<TaskRef, LiveRun> runs;
-  std::int32_t failed_in_row = 0;  // Failed ends since the last success.
+  std::int32_t failed_in_row = 0;   // Failed ends since the last success.
   std::int32_t refused_in_row = 0;  // Refused starts since the last success.
-  Time last_trouble{0};  // Of either. Not replicated.
+  Time last_trouble{0};             // Of either. Not replicated.
 };
 
 struct AgentEntry {
   WorkerLife life;          // Newest of its worker.
   std::string process;      // Of the last beat.
   std::int64_t starts = 0;  // Runs of its process seen so far.
-  Time beat_seen{0};  // When this process read its last beat.
+  Time beat_seen{0};        // When this process read its last beat.
 };
 
 // State that every process replays from the same records in the same order.
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -61,8 +61,7 @@
   w.setEpoch(r.epoch);
   Put(r.first, w.initFirst());
   w.setRun(r.run);
-  PutMembers(r.members,
-             w.initMembers(static_cast<unsigned>(r.members.size())));
+  PutMembers(r.members, w.initMembers(static_cast<unsigned>(r.members.size())));
   w.setCheckpoint(r.checkpoint);
 }
 void Write(const RunStopped& r, Wire::Builder out) {
@@ -184,9 +183,8 @@
 std::optional<LedgerRecord> DecodeRecord(const std::string& bytes) {
   std::optional<LedgerRecord> out;
   const auto fault = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream in(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                     bytes.size()));
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::PackedMessageReader message(in);
     out = Read(message.getRoot<Wire>());
   });
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -59,7 +59,7 @@
   std::string rack;
   std::vector<std::string> labels;
   Resources capacity;
-  bool accepting = true;        // False: leaving, or cannot be reached.
+  bool accepting = true;          // False: leaving, or cannot be reached.
   std::int64_t leaves_in_ms = 0;  // While leaving: least time left.
   friend bool operator==(const WorkerReported&,
                          const WorkerReported&) = default;
@@ -108,9 +108,9 @@
 };
 
 enum class StopCause {
-  kReclaim,   // A guarantee needs the room.
-  kMoved,     // The worker leaves, or its data centre is out.
-  kStalled,   // It makes no progress.
+  kReclaim,  // A guarantee needs the room.
+  kMoved,    // The worker leaves, or its data centre is out.
+  kStalled,  // It makes no progress.
 };
 const char* ToString(StopCause cause);
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -191,9 +191,8 @@
     const std::string& bytes) {
   Restored out;
   const auto fault = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream input(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                     bytes.size()));
+    kj::ArrayInputStream input(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::ReaderOptions options;
     options.traversalLimitInWords = std::numeric_limits<std::uint64_t>::max();
     capnp::PackedMessageReader message(input, options);
@@ -219,10 +218,11 @@
       ledger.workers_.emplace(entry.report.life, std::move(entry));
     }
     for (const auto agent : in.getAgents()) {
-      ledger.agents_[Get(agent.getAgent())] = {.life = Get(agent.getLife()),
-                                               .process = Get(agent.getProcess()),
-                                               .starts = agent.getStarts(),
-                                               .beat_seen = now};
+      ledger.agents_[Get(agent.getAgent())] = {
+          .life = Get(agent.getLife()),
+          .process = Get(agent.getProcess()),
+          .starts = agent.getStarts(),
+          .beat_seen = now};
     }
     for (const auto entry : in.getEntries()) {
       EntryStarted e = Get(entry);
--- a/src/net/http_caller.cc
+++ b/src/net/http_caller.cc
@@ -74,9 +74,9 @@
     return answer;
   } catch (const Poco::Exception& e) {
     session_.reset();
-    return {.kind = sent ? HttpAnswer::Kind::kNoAnswer
-                         : HttpAnswer::Kind::kNotSent,
-            .reason = e.displayText()};
+    return {
+        .kind = sent ? HttpAnswer::Kind::kNoAnswer : HttpAnswer::Kind::kNotSent,
+        .reason = e.displayText()};
   } catch (const std::exception& e) {
     session_.reset();
     return {.kind = HttpAnswer::Kind::kNoAnswer, .reason = e.what()};
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -47,7 +47,8 @@
         .With("worker", ToString(r->life))
         .With("gone", r->gone)
         .With("reason", r->reason);
-  } else if (const auto* r = std::get_if<RunObserved>(&record); r && r->stalled) {
+  } else if (const auto* r = std::get_if<RunObserved>(&record);
+             r && r->stalled) {
     LogEvent("task_stalled")
         .With("task", ToString(r->task))
         .With("run", r->run)
@@ -93,7 +94,8 @@
                      const EndpointFactory& open_endpoint)
     : options_(std::move(options)),
       ledger_({.records = options_.records, .snapshots = options_.snapshots},
-              OpenRelayed(open_store), OpenRelayed(open_store)),
+              OpenRelayed(open_store),
+              OpenRelayed(open_store)),
       writer_(options_.records, OpenRelayed(open_store)),
       supervisor_(options_.supervisor) {
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
@@ -119,12 +121,10 @@
 std::unique_ptr<LogStore> AgentNode::OpenRelayed(
     const StoreFactory& open_store) {
   return std::make_unique<RelayedLogStore>(
-      RelayedLogStore::Options{.relays =
-                                   [this] {
-                                     return RelaysOn(ledger_,
-                                                     options_.data_centre, "");
-                                   },
-                               .relays_first = true},
+      RelayedLogStore::Options{
+          .relays =
+              [this] { return RelaysOn(ledger_, options_.data_centre, ""); },
+          .relays_first = true},
       open_store());
 }
 
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -25,10 +25,10 @@
 class AgentNode {
  public:
   struct Options {
-    std::string name;        // Of the machine.
+    std::string name;         // Of the machine.
     std::string data_centre;  // Where it stands.
-    LogPartition records;    // The ledger.
-    LogPartition snapshots;  // Keyed topic.
+    LogPartition records;     // The ledger.
+    LogPartition snapshots;   // Keyed topic.
     Supervisor::Options supervisor;
     std::int32_t order_threads = 3;  // Starts and stops at the same time.
   };
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -48,8 +48,10 @@
       ledger_({.records = options_.records,
                .snapshots = options_.snapshots,
                .adopts = true},
-              OpenRelayed(open_store), open_store()),
-      rules_({.partition = options_.rules}, OpenRelayed(open_store),
+              OpenRelayed(open_store),
+              open_store()),
+      rules_({.partition = options_.rules},
+             OpenRelayed(open_store),
              options_.decode_rules),
       writer_(options_.records, OpenRelayed(open_store)),
       relay_writer_(options_.records, open_store()),
@@ -59,10 +61,9 @@
              relay_writer_),
       desk_(options_.desk, rules_, ledger_, writer_),
       dispatcher_(options_.dispatch) {
-  ledger_.SetOnRecord([this](const Ledger& ledger, const LedgerRecord& record,
-                             std::int64_t offset) {
-    LogEndOfJob(ledger, record, offset);
-  });
+  ledger_.SetOnRecord(
+      [this](const Ledger& ledger, const LedgerRecord& record,
+             std::int64_t offset) { LogEndOfJob(ledger, record, offset); });
   writer_.SetOnStored([this](std::int64_t end) { ledger_.Expect(end); });
   relay_writer_.SetOnStored([this](std::int64_t end) { ledger_.Expect(end); });
   ledger_.SetOnGap([this] {
@@ -119,12 +120,11 @@
 std::unique_ptr<LogStore> EntryNode::OpenRelayed(
     const StoreFactory& open_store) {
   return std::make_unique<RelayedLogStore>(
-      RelayedLogStore::Options{.relays =
-                                   [this] {
-                                     return RelaysOn(ledger_,
-                                                     options_.data_centre,
-                                                     options_.name);
-                                   }},
+      RelayedLogStore::Options{
+          .relays =
+              [this] {
+                return RelaysOn(ledger_, options_.data_centre, options_.name);
+              }},
       open_store());
 }
 
@@ -178,8 +178,7 @@
 void EntryNode::RunForPlanner(Time now) {
   const auto [epoch, silent] =
       ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-        const Time since =
-            std::max(ledger.planner_seen(), view.readable_since);
+        const Time since = std::max(ledger.planner_seen(), view.readable_since);
         // Nobody plans, or an earlier run of this very process did.
         const bool vacant =
             ledger.planner_epoch() > 0 &&
@@ -195,8 +194,8 @@
     return;
   }
   fence_ = {.epoch = (epoch + 1) * kFencesOfEpoch};
-  const bool stored = AppendFenced(
-      {PlannerElected{.entry = planner_id_, .epoch = epoch + 1}});
+  const bool stored =
+      AppendFenced({PlannerElected{.entry = planner_id_, .epoch = epoch + 1}});
   LogEvent("planner_election").With("epoch", epoch + 1).With("stored", stored);
 }
 
@@ -288,8 +287,8 @@
   if (position == snapshot_position_) {
     return;
   }
-  const bool stored = WriteSnapshot(*planner_store_, options_.snapshots, bytes,
-                                    position);
+  const bool stored =
+      WriteSnapshot(*planner_store_, options_.snapshots, bytes, position);
   snapshot_position_ = stored ? position : snapshot_position_;
   LogEvent("snapshot")
       .With("position", position)
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -30,12 +30,12 @@
 class EntryNode {
  public:
   struct Options {
-    std::string name;          // Of the machine.
-    std::string data_centre;   // Where it stands.
-    std::string relay;         // "IP:port" at which it relays the log.
-    LogPartition records;      // The ledger.
-    LogPartition snapshots;    // Keyed topic.
-    LogPartition rules;        // Keyed topic of the operators.
+    std::string name;         // Of the machine.
+    std::string data_centre;  // Where it stands.
+    std::string relay;        // "IP:port" at which it relays the log.
+    LogPartition records;     // The ledger.
+    LogPartition snapshots;   // Keyed topic.
+    LogPartition rules;       // Keyed topic of the operators.
     RulesFollower::Decoder decode_rules;
     JobDesk::Options desk;
     Dispatcher::Options dispatch;
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -24,12 +24,12 @@
 struct DeskAnswer {
   enum class Kind {
     kOk,
-    kBadRequest,   // Wrong in itself: `reason`.
-    kNoQueue,      // No queue has this host and path.
-    kUnknownKey,   // No account has this key.
-    kNoJob,        // No such job in this queue.
-    kNotRun,       // Nothing was stored or run: come back after `retry_after`.
-    kUnsettled,    // It may or may not be stored: ask again with the same id.
+    kBadRequest,  // Wrong in itself: `reason`.
+    kNoQueue,     // No queue has this host and path.
+    kUnknownKey,  // No account has this key.
+    kNoJob,       // No such job in this queue.
+    kNotRun,      // Nothing was stored or run: come back after `retry_after`.
+    kUnsettled,   // It may or may not be stored: ask again with the same id.
   };
   Kind kind = Kind::kOk;
   std::string reason;
--- a/src/node/rules_follower.cc
+++ b/src/node/rules_follower.cc
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr Duration kReadSlack = 700ms;   // Beyond the poll, for the answer.
-constexpr Duration kNewestLimit = 2s;    // For all pages.
-constexpr Duration kRetryPause = 60ms;   // After a failed read.
+constexpr Duration kReadSlack = 700ms;  // Beyond the poll, for the answer.
+constexpr Duration kNewestLimit = 2s;   // For all pages.
+constexpr Duration kRetryPause = 60ms;  // After a failed read.
 
 }  // namespace
 
--- a/src/node/rules_follower.h
+++ b/src/node/rules_follower.h
@@ -46,7 +46,7 @@
   const Options options_;
   const std::unique_ptr<LogStore> store_;
   const Decoder decoder_;
-  RulesView current_;  // On the follower's thread.
+  RulesView current_;                            // On the follower's thread.
   std::map<std::string, std::int64_t> offsets_;  // Newest known of each key.
   std::int64_t position_ = -1;  // -1: reload from the newest of each key.
   RecordRing ring_;
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -52,13 +52,12 @@
 
   static std::unique_ptr<Connection> Open(const std::string& address) {
     kj::AsyncIoContext& io = ThreadIo();
-    auto connecting =
-        io.provider->getNetwork()
-            .parseAddress(address.c_str())
-            .then([](kj::Own<kj::NetworkAddress>&& parsed) {
-              auto promise = parsed->connect();
-              return promise.attach(kj::mv(parsed));
-            });
+    auto connecting = io.provider->getNetwork()
+                          .parseAddress(address.c_str())
+                          .then([](kj::Own<kj::NetworkAddress>&& parsed) {
+                            auto promise = parsed->connect();
+                            return promise.attach(kj::mv(parsed));
+                          });
     return std::make_unique<Connection>(
         Within(kj::mv(connecting), kConnectLimit).wait(io.waitScope));
   }
@@ -104,7 +103,7 @@
     }
     out.kind = ReadResult::Kind::kOk;
   });
-  KJ_IF_MAYBE(e, fault) {
+  KJ_IF_MAYBE (e, fault) {
     connection_.reset();
     out.kind = ReadResult::Kind::kFailed;
     out.reason = Describe(*e);
@@ -124,9 +123,9 @@
     auto request = connection_->relay.appendRequest();
     auto list = request.initRecords(static_cast<unsigned>(records.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
-      list.set(i, kj::arrayPtr(
-                      reinterpret_cast<const kj::byte*>(records[i].data()),
-                      records[i].size()));
+      list.set(
+          i, kj::arrayPtr(reinterpret_cast<const kj::byte*>(records[i].data()),
+                          records[i].size()));
     }
     request.setLimitMs(limit.count());
     sent = true;
@@ -144,10 +143,10 @@
                    : AppendResult::Kind::kUnknown;
     out.reason = "the entry could not store it for sure";
   });
-  KJ_IF_MAYBE(e, fault) {
+  KJ_IF_MAYBE (e, fault) {
     connection_.reset();
-    out.kind = sent ? AppendResult::Kind::kUnknown
-                    : AppendResult::Kind::kRefused;
+    out.kind =
+        sent ? AppendResult::Kind::kUnknown : AppendResult::Kind::kRefused;
     out.reason = Describe(*e);
   }
   return out;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -45,7 +45,7 @@
   }
   void Wake() {
     const std::lock_guard lock(mutex);
-    KJ_IF_MAYBE(b, bell) {
+    KJ_IF_MAYBE (b, bell) {
       (*b)->fulfill();
       bell = nullptr;
     }
@@ -108,9 +108,8 @@
     auto left = std::make_shared<std::atomic<unsigned>>(records.size());
     auto worst = std::make_shared<std::atomic<std::uint8_t>>(0);
     for (const auto bytes : records) {
-      std::optional<LedgerRecord> record = DecodeRecord(
-          std::string(reinterpret_cast<const char*>(bytes.begin()),
-                      bytes.size()));
+      std::optional<LedgerRecord> record = DecodeRecord(std::string(
+          reinterpret_cast<const char*>(bytes.begin()), bytes.size()));
       KJ_REQUIRE(record.has_value(), "a record of an unknown kind");
       writer_.Append(
           {.record = std::move(*record),
@@ -140,7 +139,8 @@
   const RecordRing* Find(Params params) const {
     const std::string topic(params.getTopic().cStr());
     for (const Partition& p : partitions_) {
-      if (p.partition.topic == topic && p.partition.number == params.getPart()) {
+      if (p.partition.topic == topic &&
+          p.partition.number == params.getPart()) {
         return p.ring;
       }
     }
@@ -154,14 +154,12 @@
     out.setFirst(slice.first);
     out.setEnd(slice.end);
     out.setAgeMs((BootTime() - slice.as_of).count());
-    auto records =
-        out.initRecords(static_cast<unsigned>(slice.records.size()));
+    auto records = out.initRecords(static_cast<unsigned>(slice.records.size()));
     for (unsigned i = 0; i < records.size(); ++i) {
       const std::string& bytes = slice.records[i].bytes;
       records[i].setOffset(slice.records[i].offset);
-      records[i].setBytes(
-          kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                       bytes.size()));
+      records[i].setBytes(kj::arrayPtr(
+          reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     }
   }
 
--- a/src/relay/relayed_log_store.cc
+++ b/src/relay/relayed_log_store.cc
@@ -66,9 +66,8 @@
     return direct_->Append(to, records, stamp, limit);
   }
   const std::string way = Ways().front();
-  AppendResult result = way.empty()
-                            ? direct_->Append(to, records, stamp, limit)
-                            : Client(way).Append(records, limit);
+  AppendResult result = way.empty() ? direct_->Append(to, records, stamp, limit)
+                                    : Client(way).Append(records, limit);
   if (result.kind == AppendResult::Kind::kStored) {
     Worked(way);
   } else {
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -177,8 +177,8 @@
       continue;
     }
     const Time sent = BootTime();
-    const ReadResult read = second_->Read(options_.records, position,
-                                          Duration(0), kCatchUpLimit);
+    const ReadResult read =
+        second_->Read(options_.records, position, Duration(0), kCatchUpLimit);
     if (read.kind == ReadResult::Kind::kOk) {
       ApplyAll(read, sent);
       Announce();
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -30,9 +30,9 @@
   struct Options {
     LogPartition records;
     LogPartition snapshots;  // Of a keyed topic.
-    Duration poll{500};  // Wait of a read at the log's end; bounds the age.
-    bool adopts = false;  // After records were lost that no snapshot covers:
-                          // publishes its own state as the new beginning.
+    Duration poll{500};      // Wait of a read at the log's end; bounds the age.
+    bool adopts = false;     // After records were lost that no snapshot covers:
+                             // publishes its own state as the new beginning.
   };
 
   // `second` reads what the first connection does not bring in time.
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -84,8 +84,7 @@
 
 std::vector<LedgerWriter::Pending> LedgerWriter::TakeBatch() {
   std::unique_lock lock(mutex_);
-  ready_.wait_for(lock, 200ms,
-                  [this] { return stopping_ || !queue_.empty(); });
+  ready_.wait_for(lock, 200ms, [this] { return stopping_ || !queue_.empty(); });
   std::vector<Pending> batch;
   std::size_t bytes = 0;
   while (!queue_.empty() && batch.size() < kBatchRecords &&
@@ -99,14 +98,13 @@
 }
 
 void LedgerWriter::GiveUpOverdue(std::vector<Pending>& batch, Time now) {
-  const auto overdue =
-      std::stable_partition(batch.begin(), batch.end(), [&](const Pending& p) {
-        return p.item.deadline > now;
-      });
+  const auto overdue = std::stable_partition(
+      batch.begin(), batch.end(),
+      [&](const Pending& p) { return p.item.deadline > now; });
   for (auto it = overdue; it != batch.end(); ++it) {
     if (it->item.done) {
-      it->item.done(
-          it->maybe_stored ? Outcome::kUnknown : Outcome::kNotStored, now);
+      it->item.done(it->maybe_stored ? Outcome::kUnknown : Outcome::kNotStored,
+                    now);
     }
   }
   batch.erase(overdue, batch.end());
@@ -157,9 +155,9 @@
     }
     const Time sent = BootTime();
     const Duration limit =
-        deadline == kNever ? kAppendLimit
-                           : std::clamp(deadline - sent, Duration(1ms),
-                                        kAppendLimit);
+        deadline == kNever
+            ? kAppendLimit
+            : std::clamp(deadline - sent, Duration(1ms), kAppendLimit);
     const AppendResult result = store_->Append(partition_, records, {}, limit);
     if (result.kind == AppendResult::Kind::kStored) {
       failing_ = false;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -30,9 +30,9 @@
 struct AppendResult {
   enum class Kind {
     kStored,
-    kRefused,  // Nothing was done, and nothing will be.
-    kUnknown,  // No answer. It may be carried out, also seconds later.
-    kFenced,   // A higher epoch of this producer has been seen.
+    kRefused,        // Nothing was done, and nothing will be.
+    kUnknown,        // No answer. It may be carried out, also seconds later.
+    kFenced,         // A higher epoch of this producer has been seen.
     kOutOfSequence,  // Within the epoch, another sequence number is next.
   };
   Kind kind = Kind::kUnknown;
@@ -54,7 +54,7 @@
   Kind kind = Kind::kFailed;
   std::int64_t first = 0;  // First offset that is kept.
   std::int64_t end = 0;    // One past the last record.
-  Duration age{0};  // The end was this old when the answer was given.
+  Duration age{0};         // The end was this old when the answer was given.
   std::vector<LogRecordBytes> records;
   std::string reason;  // For the log, when failed.
 };
@@ -95,6 +95,8 @@
 
 // A record of a keyed topic as it is appended and read.
 std::string EncodeKeyed(const std::string& key, const std::string& value);
-bool DecodeKeyed(const std::string& bytes, std::string& key, std::string& value);
+bool DecodeKeyed(const std::string& bytes,
+                 std::string& key,
+                 std::string& value);
 
 }  // namespace marjoramplank
--- a/src/store/snapshot_store.cc
+++ b/src/store/snapshot_store.cc
@@ -78,9 +78,8 @@
       records.clear();
     }
   }
-  const Manifest manifest{.position = position,
-                          .parts = parts,
-                          .checksum = Checksum(bytes)};
+  const Manifest manifest{
+      .position = position, .parts = parts, .checksum = Checksum(bytes)};
   records.push_back(EncodeKeyed(std::string(1, slot), ToText(manifest)));
   return store.Append(to, records, {}, kStoreLimit).kind ==
          AppendResult::Kind::kStored;
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -127,6 +127,7 @@
 
 void Supervisor::OnLedger(Time now, const Ledger& ledger, bool current) {
   current_ = current;
+  known_ = known_ || current;
   const AgentEntry* self = ledger.FindAgent(options_.agent);
   if (fence_ == 0 && self != nullptr && self->process == options_.process) {
     fence_ = self->starts * kFencesOfProcess;
@@ -194,8 +195,7 @@
       if (run.phase == Phase::kOrdered) {
         Refuse(task, run, "stopped before it was started");
       } else if (run.phase != Phase::kStarting && !run.stop_out &&
-                 !run.stop_done &&
-                 now - run.stop_sent >= options_.stop_retry) {
+                 !run.stop_done && now - run.stop_sent >= options_.stop_retry) {
         run.stop_out = true;
         run.stop_sent = now;
         out.emplace_back(StopCall{.life = worker_->life,
@@ -300,8 +300,9 @@
 }
 
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
-  // A listing settles only the runs that are known when it is sent.
-  if (!worker_ || departed_ || fence_ == 0 || (settle_ && !current_)) {
+  // A listing settles only the runs that are known when it is sent, so the
+  // orders of earlier processes must be known.
+  if (!worker_ || departed_ || fence_ == 0 || !known_) {
     return std::nullopt;
   }
   const Duration since = now - hold_sent_;
@@ -367,8 +368,7 @@
     if (run.phase != Phase::kUnsure || run.reported || listed.contains(task)) {
       continue;
     }
-    if (run.sent && !run.stop &&
-        now - run.ordered < options_.start_window) {
+    if (run.sent && !run.stop && now - run.ordered < options_.start_window) {
       run.phase = Phase::kOrdered;
     } else {
       Refuse(task, run, "the start was not carried out");
@@ -434,14 +434,14 @@
 }
 
 std::vector<LedgerRecord> Supervisor::TakeRecords(Time now) {
-  std::vector<LedgerRecord> out;
+  // Ends come before the word of a new life, which drops what ran before it.
+  std::vector<LedgerRecord> out = std::move(records_);
+  records_.clear();
   if (worker_ && !departed_ && !announced_ &&
       now - report_sent_ >= options_.report_retry) {
     report_sent_ = now;
     out.emplace_back(Report(now));
   }
-  out.insert(out.end(), records_.begin(), records_.end());
-  records_.clear();
   if (!worker_ || departed_ || now - observed_ < kObservePause) {
     return out;
   }
@@ -467,9 +467,9 @@
   // The worker has not answered until its last lease ran out.
   if (failing_since_ != Time{0} && !runs_.empty() && now > lease_end_ &&
       now - failing_since_ > options_.leases.lease) {
-    out.emplace_back(WorkerEmptied{
-        .life = worker_->life,
-        .reason = "no answer until every lease had run out"});
+    out.emplace_back(
+        WorkerEmptied{.life = worker_->life,
+                      .reason = "no answer until every lease had run out"});
     lease_end_ = now + options_.leases.lease;  // Not again at once.
   }
   return out;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -33,9 +33,9 @@
     // Without progress for this long a task counts as stalled. One percent of
     // the longest task on a worker eight times too slow takes less.
     Duration stall_after{4000};
-    Duration hold_wait{1000};      // Longest wait of a listing.
-    Duration stop_retry{300};      // Until a stop without an answer is repeated.
-    Duration report_retry{1000};   // Until an unconfirmed report is repeated.
+    Duration hold_wait{1000};     // Longest wait of a listing.
+    Duration stop_retry{300};     // Until a stop without an answer is repeated.
+    Duration report_retry{1000};  // Until an unconfirmed report is repeated.
     Duration unreachable_after{1500};  // Calls fail for this long: no new work.
   };
 
@@ -76,16 +76,16 @@
   struct LocalRun {
     std::int32_t run = 1;
     Phase phase = Phase::kOrdered;
-    bool sent = false;         // A start has been sent by this process.
-    bool stop = false;         // Must end.
-    bool stop_out = false;     // A stop is under way.
-    bool stop_done = false;    // The worker has taken the stop.
-    bool reported = false;     // Its end or refusal is on its way to the log.
+    bool sent = false;       // A start has been sent by this process.
+    bool stop = false;       // Must end.
+    bool stop_out = false;   // A stop is under way.
+    bool stop_done = false;  // The worker has taken the stop.
+    bool reported = false;   // Its end or refusal is on its way to the log.
     bool gang = false;
     bool lasting = false;
     std::string payload;
-    std::string checkpoint;    // To start from.
-    std::string saved;         // Newest checkpoint seen.
+    std::string checkpoint;  // To start from.
+    std::string saved;       // Newest checkpoint seen.
     std::string saved_recorded;
     std::int32_t percent = 0;
     bool stalled = false;
@@ -106,9 +106,10 @@
   std::int64_t fence_ = 0;  // 0: the ledger has no beat of this process yet.
   std::optional<WorkerHeartbeat> worker_;
   bool departed_ = false;
-  bool settle_ = false;          // Starts must be settled by a listing.
-  bool current_ = false;         // The ledger was current when last seen.
-  bool announced_ = false;       // The ledger knows this life as it is.
+  bool settle_ = false;     // Starts must be settled by a listing.
+  bool current_ = false;    // The ledger was current when last seen.
+  bool known_ = false;      // It has been current once.
+  bool announced_ = false;  // The ledger knows this life as it is.
   Time report_sent_{0};
   std::map<TaskRef, LocalRun> runs_;
   std::map<std::int64_t, TaskEnded> ends_;  // Listed, not on the ledger yet.
@@ -118,12 +119,12 @@
   std::vector<LedgerRecord> records_;
   std::int64_t clock_ms_ = 0;  // Worker's clock at `clock_at_`.
   Time clock_at_{0};
-  Time beat_stored_;           // When the newest stored beat was sent.
-  Time reached_{0};            // Last answer of the worker.
-  Time failing_since_{0};      // 0: the last call was answered.
+  Time beat_stored_;       // When the newest stored beat was sent.
+  Time reached_{0};        // Last answer of the worker.
+  Time failing_since_{0};  // 0: the last call was answered.
   Time hold_sent_{0};
-  Time lease_end_{0};          // No lease that we gave lasts beyond.
-  Time observed_{0};           // Last observations recorded.
+  Time lease_end_{0};  // No lease that we gave lasts beyond.
+  Time observed_{0};   // Last observations recorded.
 };
 
 }  // namespace marjoramplank
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -41,7 +41,7 @@
   std::int64_t fence = 0;
   std::int64_t seen_end = 0;  // Ends up to this number may be forgotten.
   std::optional<std::int64_t> lease_until;  // Worker's clock, ms.
-  Duration wait{0};   // For an end that is not listed yet.
+  Duration wait{0};      // For an end that is not listed yet.
   bool settles = false;  // Its answer decides starts that had no answer.
 
   friend bool operator==(const HoldCall&, const HoldCall&) = default;
@@ -52,13 +52,13 @@
 struct OrderReply {
   enum class Kind {
     kDone,
-    kRefused,    // Not done, and not possible as asked: `reason`.
-    kOutdated,   // Not done: the lease time had passed, or a newer fence is
-                 // known.
+    kRefused,      // Not done, and not possible as asked: `reason`.
+    kOutdated,     // Not done: the lease time had passed, or a newer fence is
+                   // known.
     kEndedBefore,  // Not done: this run, or a later one, has been there.
-    kUnhealthy,  // Not done: the worker is not well.
-    kWrongLife,  // Not done: another life answers there.
-    kNoAnswer,   // It may be done, also later.
+    kUnhealthy,    // Not done: the worker is not well.
+    kWrongLife,    // Not done: another life answers there.
+    kNoAnswer,     // It may be done, also later.
   };
   Kind kind = Kind::kNoAnswer;
   std::string reason;
