Planner: an election that never came onto the ledger locks nobody out

Ruled out: the dispatcher (it planned 13 starts each time); distrust of workers. Change: PlannerFence holds the stamps.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -14,11 +14,7 @@
 
 namespace {
 
-constexpr char kProducer[] = "planner";
 constexpr char kRunMark[] = "#";  // Between a machine's name and the run.
-// Producer epochs of one planner epoch; a planner that loses this many answers
-// without a new election does not occur.
-constexpr std::int64_t kFencesOfEpoch = 100'000;
 // Longest wait for an append of decisions, and for reading them back.
 constexpr Duration kAppendLimit = 900ms;
 constexpr Duration kReadBack = 900ms;
@@ -136,50 +132,53 @@
 }
 
 void EntryNode::RaiseFence() {
-  ++fence_.epoch;
-  fence_.sequence = 0;
+  fence_.Raise();
   const AppendResult result = planner_store_->Append(
-      options_.records, {},
-      {.id = kProducer, .epoch = fence_.epoch, .sequence = 0}, kAppendLimit);
+      options_.records, {}, fence_.stamp(), kAppendLimit);
   LogEvent("planner_fence_raised")
-      .With("producer_epoch", fence_.epoch)
+      .With("producer_epoch", fence_.stamp().epoch)
       .With("stored", result.kind == AppendResult::Kind::kStored)
       .With("reason", result.reason);
 }
 
-bool EntryNode::AppendFenced(const std::vector<LedgerRecord>& records) {
+AppendResult::Kind EntryNode::AppendFenced(
+    const std::vector<LedgerRecord>& records,
+    std::int64_t epoch) {
   std::vector<std::string> bytes;
   bytes.reserve(records.size());
   for (const LedgerRecord& r : records) {
     bytes.push_back(EncodeRecord(r));
   }
   const AppendResult result = planner_store_->Append(
-      options_.records, bytes,
-      {.id = kProducer, .epoch = fence_.epoch, .sequence = fence_.sequence},
-      kAppendLimit);
+      options_.records, bytes, fence_.stamp(), kAppendLimit);
   if (result.kind == AppendResult::Kind::kStored) {
-    ++fence_.sequence;
+    fence_.OnStored();
     const std::int64_t end =
         result.offset + static_cast<std::int64_t>(bytes.size());
     ledger_.Expect(end);
     ledger_.WaitFor(end, kReadBack);
-    return true;
+    return result.kind;
   }
   LogEvent("planner_append_failed")
       .With("records", records.size())
+      .With("epoch", epoch)
+      .With("producer_epoch", fence_.stamp().epoch)
       .With("reason", result.reason);
-  if (result.kind == AppendResult::Kind::kUnknown ||
-      result.kind == AppendResult::Kind::kOutOfSequence) {
-    RaiseFence();
+  if (result.kind == AppendResult::Kind::kFenced) {
+    // Somebody stood for election, and may never have come onto the ledger:
+    // whoever finds that stands again, further above.
+    fence_.OnFenced();
+    deposed_in_ = epoch;
   }
-  return false;
+  return result.kind;
 }
 
 void EntryNode::RunForPlanner(Time now) {
   const auto [epoch, silent] =
       ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
         const Time since = std::max(ledger.planner_seen(), view.readable_since);
-        // Nobody plans, or an earlier run of this very process did.
+        // Nobody plans, or an earlier run of this very process did, or this one
+        // did and was fenced off.
         const bool vacant =
             ledger.planner_epoch() > 0 &&
             (ledger.planner().empty() ||
@@ -193,9 +192,12 @@
   if (!silent) {
     return;
   }
-  fence_ = {.epoch = (epoch + 1) * kFencesOfEpoch};
+  fence_.BeginElection(epoch + 1);
+  // Without an answer it is simply repeated: an election that comes late is
+  // as good, or void.
   const bool stored =
-      AppendFenced({PlannerElected{.entry = planner_id_, .epoch = epoch + 1}});
+      AppendFenced({PlannerElected{.entry = planner_id_, .epoch = epoch + 1}},
+                   epoch) == AppendResult::Kind::kStored;
   LogEvent("planner_election").With("epoch", epoch + 1).With("stored", stored);
 }
 
@@ -248,13 +250,13 @@
 
 void EntryNode::Lead(Time now) {
   std::vector<LedgerRecord> records;
+  const std::int64_t epoch =
+      ledger_.Read([](const Ledger& ledger, const LedgerView&) {
+        return ledger.planner_epoch();
+      });
   if (now - last_beat_ >= options_.planner_beat) {
     last_beat_ = now;
-    records.emplace_back(PlannerElected{
-        .entry = planner_id_,
-        .epoch = ledger_.Read([](const Ledger& ledger, const LedgerView&) {
-          return ledger.planner_epoch();
-        })});
+    records.emplace_back(PlannerElected{.entry = planner_id_, .epoch = epoch});
   }
   const auto rules = rules_.view();
   std::int64_t position = 0;
@@ -270,7 +272,11 @@
     records.insert(records.end(), plan.begin(), plan.end());
   });
   if (!records.empty()) {
-    AppendFenced(records);
+    const AppendResult::Kind kind = AppendFenced(records, epoch);
+    if (kind == AppendResult::Kind::kUnknown ||
+        kind == AppendResult::Kind::kOutOfSequence) {
+      RaiseFence();
+    }
   }
 }
 
@@ -308,10 +314,11 @@
         ledger_.Read([](const Ledger& ledger, const LedgerView&) {
           return std::pair(ledger.planner(), ledger.planner_epoch());
         });
-    const bool leads = planner == planner_id_;
+    const bool leads = planner == planner_id_ && epoch != deposed_in_;
     if (resigning_) {
       if (leads && !resigned_) {
-        AppendFenced({PlannerResigned{.entry = planner_id_, .epoch = epoch}});
+        AppendFenced({PlannerResigned{.entry = planner_id_, .epoch = epoch}},
+                     epoch);
         LogEvent("planner_resigned").With("epoch", epoch);
       }
       resigned_ = true;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -8,6 +8,7 @@
 
 #include "src/dispatch/dispatcher.h"
 #include "src/node/job_desk.h"
+#include "src/node/planner_fence.h"
 #include "src/node/rules_follower.h"
 #include "src/relay/relay_server.h"
 #include "src/relay/relayed_log_store.h"
@@ -58,20 +59,16 @@
   void Close();
 
  private:
-  struct Fence {
-    std::int64_t epoch = 0;     // Of the producer.
-    std::int64_t sequence = 0;  // Next.
-  };
-
   std::unique_ptr<LogStore> OpenRelayed(const StoreFactory& open_store);
   void PlannerLoop();
   bool MayPlan(Time now) const;
   void RunForPlanner(Time now);
   void Lead(Time now);
   void SaveSnapshot(Time now);
-  // Appends as the planner. False: not stored for sure; the fence was raised,
-  // so it never will be.
-  bool AppendFenced(const std::vector<LedgerRecord>& records);
+  // Appends as the planner, or to become it, and reads it back.
+  AppendResult::Kind AppendFenced(const std::vector<LedgerRecord>& records,
+                                  std::int64_t epoch);
+  // After an append without an answer: makes sure that it never comes.
   void RaiseFence();
   void LogEndOfJob(const Ledger& ledger,
                    const LedgerRecord& record,
@@ -89,8 +86,9 @@
   RelayServer relay_;
   JobDesk desk_;
   Dispatcher dispatcher_;
-  Fence fence_;
-  std::int64_t ended_jobs_ = 0;  // Seen so far; on the follower's thread.
+  PlannerFence fence_;
+  std::int64_t deposed_in_ = -1;  // Epoch in which our appends were fenced off.
+  std::int64_t ended_jobs_ = 0;   // Seen so far; on the follower's thread.
   Time last_beat_{0};
   Time last_snapshot_{0};
   std::int64_t snapshot_position_ = 0;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -117,7 +117,9 @@
            .done = [done, left, worst](LedgerWriter::Outcome outcome, Time) {
              const auto n = static_cast<std::uint8_t>(outcome);
              std::uint8_t seen = worst->load();
-             while (n > seen && !worst->compare_exchange_weak(seen, n)) {
+             bool raised = n <= seen;
+             while (!raised) {
+               raised = worst->compare_exchange_weak(seen, n) || n <= seen;
              }
              if (--*left == 0) {
                (*done)->fulfill(worst->load());
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -19,7 +19,9 @@
 TEST_CASE("jobs of steps in virtual time", "[jobs][protocol]") {
   SECTION("a calm day completes every job") {
     JobWorld world({.seed = 7});
-    CHECK(Join(world.Play()) == "");
+    const std::string broken = Join(world.Play());
+    INFO(broken);
+    CHECK(broken.empty());
     CHECK(world.completed() == 12);
   }
 
--- a/tests/support/job_world.cc
+++ b/tests/support/job_world.cc
@@ -129,7 +129,7 @@
 
 void JobWorld::SubmitSome() {
   const double share = static_cast<double>(now_.count()) /
-                       static_cast<double>(options_.length.count() / 2);
+                       (static_cast<double>(options_.length.count()) / 2);
   while (submitted_ < options_.jobs && submitted_ < share * options_.jobs) {
     JobRequest job{.id = "j" + std::to_string(submitted_++),
                    .account = "a",
