--- a/src/daemon/agent_host.cc
+++ b/src/daemon/agent_host.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "src/daemon/logging.h"
-#include "src/platform/http_worker_service.h"
+#include "src/services/http_worker_service.h"
 
 namespace marjoramplank {
 
--- a/src/daemon/agent_host.h
+++ b/src/daemon/agent_host.h
@@ -16,7 +16,7 @@
 #include "src/daemon/settings.h"
 #include "src/observability/metrics.h"
 #include "src/observability/span.h"
-#include "src/platform/worker_service.h"
+#include "src/services/worker_service.h"
 #include "src/wire/peer_hub.h"
 
 namespace marjoramplank {
--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -7,7 +7,7 @@
 #include "src/codec/inventory_codec.h"
 #include "src/codec/job_codec.h"
 #include "src/daemon/logging.h"
-#include "src/platform/http_log_service.h"
+#include "src/services/http_log_service.h"
 
 namespace marjoramplank {
 
--- a/src/daemon/entry_host.h
+++ b/src/daemon/entry_host.h
@@ -16,7 +16,7 @@
 #include "src/daemon/published.h"
 #include "src/daemon/settings.h"
 #include "src/entry/entry_core.h"
-#include "src/platform/log_service.h"
+#include "src/services/log_service.h"
 #include "src/wire/peer_hub.h"
 
 namespace marjoramplank {
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -95,8 +95,9 @@
     : options_(std::move(options)),
       ledger_({.records = options_.records, .snapshots = options_.snapshots},
               OpenRelayed(open_store),
-              OpenRelayed(open_store)),
-      writer_(options_.records, OpenRelayed(open_store)),
+              OpenRelayed(open_store),
+              metrics_),
+      writer_(options_.records, OpenRelayed(open_store), metrics_),
       supervisor_(options_.supervisor) {
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
   ledger_.Start();
@@ -202,6 +203,18 @@
   }
 }
 
+void AgentNode::CountOrder(const OrderCall& call,
+                           const OrderReply& reply,
+                           Time sent) {
+  const bool done = reply.kind == OrderReply::Kind::kDone;
+  if (std::holds_alternative<StopCall>(call)) {
+    metrics_.Add(Counter::kTasksStopped, done ? 1 : 0);
+    return;
+  }
+  metrics_.Add(done ? Counter::kTasksStarted : Counter::kTasksRefused);
+  metrics_.Observe(Latency::kStep, ToSeconds(BootTime() - sent));
+}
+
 void AgentNode::OrderLoop(std::unique_ptr<TaskEndpoint> endpoint) {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
@@ -213,6 +226,7 @@
     orders_.pop_front();
     lock.unlock();
     OrderReply reply;
+    const Time sent = BootTime();
     if (const auto* start = std::get_if<StartCall>(&order)) {
       reply = endpoint->Start(*start, kOrderLimit);
       LogOrder("start", *start, reply);
@@ -220,6 +234,7 @@
       reply = endpoint->Stop(std::get<StopCall>(order), kOrderLimit);
       LogOrder("stop", std::get<StopCall>(order), reply);
     }
+    CountOrder(order, reply, sent);
     lock.lock();
     const Time now = BootTime();
     if (const auto* start = std::get_if<StartCall>(&order)) {
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -38,6 +38,8 @@
             const EndpointFactory& open_endpoint);
   ~AgentNode();
 
+  // Counters and histograms as text.
+  std::string RenderMetrics() const { return metrics_.Render(options_.name); }
   bool OnHeartbeat(const WorkerHeartbeat& heartbeat);  // False: an old life.
   void OnDeparture(const std::string& worker_id);
 
@@ -52,10 +54,12 @@
   void HoldLoop(std::unique_ptr<TaskEndpoint> endpoint);
   void Drive(Time now);
   void Record(std::vector<LedgerRecord> records);
+  void CountOrder(const OrderCall& call, const OrderReply& reply, Time sent);
   void SendBeat(Time now);
   void Wake();
 
   const Options options_;
+  Metrics metrics_;
   LedgerFollower ledger_;
   LedgerWriter writer_;
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -45,17 +45,18 @@
                .snapshots = options_.snapshots,
                .adopts = true},
               OpenRelayed(open_store),
-              open_store()),
+              open_store(),
+              metrics_),
       rules_({.partition = options_.rules},
              OpenRelayed(open_store),
              options_.decode_rules),
-      writer_(options_.records, OpenRelayed(open_store)),
-      relay_writer_(options_.records, open_store()),
+      writer_(options_.records, OpenRelayed(open_store), metrics_),
+      relay_writer_(options_.records, open_store(), metrics_),
       relay_(options_.relay,
              {{.partition = options_.records, .ring = &ledger_.ring()},
               {.partition = options_.rules, .ring = &rules_.ring()}},
              relay_writer_),
-      desk_(options_.desk, rules_, ledger_, writer_),
+      desk_(options_.desk, rules_, ledger_, writer_, metrics_),
       dispatcher_(options_.dispatch) {
   ledger_.SetOnRecord(
       [this](const Ledger& ledger, const LedgerRecord& record,
@@ -198,6 +199,7 @@
   const bool stored =
       AppendFenced({PlannerElected{.entry = planner_id_, .epoch = epoch + 1}},
                    epoch) == AppendResult::Kind::kStored;
+  metrics_.Add(Counter::kOwnershipChanges);
   LogEvent("planner_election").With("epoch", epoch + 1).With("stored", stored);
 }
 
@@ -215,6 +217,9 @@
   const JobEntry* job = ledger.FindJob(id);
   if (job != nullptr && job->ended() && ledger.ended_jobs() != ended_jobs_) {
     ended_jobs_ = ledger.ended_jobs();
+    metrics_.Add(job->phase == JobPhase::kCompleted ? Counter::kJobsDone
+                 : job->phase == JobPhase::kFailed  ? Counter::kJobsFailed
+                                                    : Counter::kJobsCancelled);
     LogEvent("job_ended")
         .With("job", id)
         .With("phase", ToString(job->phase))
@@ -223,10 +228,28 @@
   }
 }
 
+void EntryNode::CountJobs() {
+  const auto rules = rules_.view();
+  metrics_.Set(Gauge::kConfigVersion, rules->rules.version);
+  ledger_.Read([&](const Ledger& ledger, const LedgerView&) {
+    std::int64_t queued = 0;
+    for (const std::string& id : ledger.open_jobs()) {
+      queued += ledger.jobs().at(id).phase == JobPhase::kQueued ? 1 : 0;
+    }
+    const auto open = static_cast<std::int64_t>(ledger.open_jobs().size());
+    metrics_.Set(Gauge::kQueuedJobs, queued);
+    metrics_.Set(Gauge::kRunningJobs, open - queued);
+    metrics_.Set(Gauge::kLiveJobs, open);
+    metrics_.Set(Gauge::kAgents,
+                 static_cast<std::int64_t>(ledger.agents().size()));
+  });
+}
+
 void EntryNode::LogDecisions(const std::vector<LedgerRecord>& records,
-                             std::int64_t position) const {
+                             std::int64_t position) {
   for (const LedgerRecord& record : records) {
     if (const auto* r = std::get_if<RunStarted>(&record)) {
+      metrics_.Add(Counter::kGangStarts);
       LogEvent event("decide_start");
       event.With("task", ToString(r->first)).With("run", r->run);
       for (const MemberPlace& m : r->members) {
@@ -285,6 +308,7 @@
     return;
   }
   last_snapshot_ = now;
+  CountJobs();
   const auto [bytes, position] =
       ledger_.Read([](const Ledger& ledger, const LedgerView& view) {
         return std::pair(LedgerSnapshot::Save(ledger, view.position),
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -50,6 +50,8 @@
   EntryNode(Options options, const StoreFactory& open_store);
   ~EntryNode();
 
+  // Counters and histograms as text.
+  std::string RenderMetrics() const { return metrics_.Render(options_.name); }
   JobDesk& desk() { return desk_; }
   bool Ready() const;  // False while leaving.
 
@@ -73,11 +75,13 @@
   void LogEndOfJob(const Ledger& ledger,
                    const LedgerRecord& record,
                    std::int64_t offset);
+  void CountJobs();
   void LogDecisions(const std::vector<LedgerRecord>& records,
-                    std::int64_t position) const;
+                    std::int64_t position);
 
   const Options options_;
   const std::string planner_id_;  // Of this run of the process.
+  Metrics metrics_;
   std::unique_ptr<LogStore> planner_store_;
   LedgerFollower ledger_;
   RulesFollower rules_;
--- a/src/node/job_desk.cc
+++ b/src/node/job_desk.cc
@@ -26,10 +26,16 @@
 JobDesk::JobDesk(Options options,
                  const RulesFollower& rules,
                  const LedgerFollower& ledger,
-                 LedgerWriter& writer)
-    : options_(options), rules_(rules), ledger_(ledger), writer_(writer) {}
+                 LedgerWriter& writer,
+                 Metrics& metrics)
+    : options_(options),
+      rules_(rules),
+      ledger_(ledger),
+      writer_(writer),
+      metrics_(metrics) {}
 
 DeskAnswer JobDesk::NotRun(const std::string& reason) const {
+  metrics_.Add(Counter::kSubmitsRefused);
   return {.kind = DeskAnswer::Kind::kNotRun,
           .reason = reason,
           .retry_after = options_.retry_after};
@@ -124,12 +130,16 @@
       .With("estimate_ms", first.estimate.count())
       .With("outcome", ToString(outcome))
       .With("took_ms", (BootTime() - call.arrived).count());
+  metrics_.Add(Counter::kSubmits);
   switch (outcome) {
     case LedgerWriter::Outcome::kStored:
+      metrics_.Observe(Latency::kSubmitToRecorded,
+                       ToSeconds(BootTime() - call.arrived));
       return {};
     case LedgerWriter::Outcome::kNotStored:
       return NotRun("the log did not take the job");
     case LedgerWriter::Outcome::kUnknown:
+      metrics_.Add(Counter::kSubmitsUnsettled);
       break;
   }
   return {.kind = DeskAnswer::Kind::kUnsettled,
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -60,7 +60,8 @@
   JobDesk(Options options,
           const RulesFollower& rules,
           const LedgerFollower& ledger,
-          LedgerWriter& writer);
+          LedgerWriter& writer,
+          Metrics& metrics);
 
   // `fill` adds what the caller's body says; it returns its faults.
   using Fill = std::function<std::vector<std::string>(JobRequest&)>;
@@ -86,6 +87,7 @@
   const RulesFollower& rules_;
   const LedgerFollower& ledger_;
   LedgerWriter& writer_;
+  Metrics& metrics_;
 };
 
 }  // namespace marjoramplank
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -20,6 +20,7 @@
   in.Read("client_address", out.client_address);
   in.Read("readiness_address", out.readiness_address);
   in.Read("relay_address", out.relay_address);
+  in.Read("metrics_address", out.metrics_address);
   in.Read("worker_address", out.worker_address);
   in.Read("endpoint", out.endpoint);
   in.ReadObject("bounds", [&](ObjectReader& b) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -30,6 +30,7 @@
   std::string client_address;     // Entry: takes callers' requests.
   std::string readiness_address;  // Entry: asked whether it takes connections.
   std::string relay_address;      // Entry: other processes read the log here.
+  std::string metrics_address;    // Counters, at /metrics. Empty: none.
   std::string worker_address;     // Agent: takes its worker's heartbeats.
   std::string endpoint;           // Agent: "IP:port" of its worker.
   PlatformBounds bounds;
--- a/src/platform/http_log_service.cc
+++ b/src/services/http_log_service.cc
@@ -1,4 +1,4 @@
-#include "src/platform/http_log_service.h"
+#include "src/services/http_log_service.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/src/platform/http_log_service.h
+++ b/src/services/http_log_service.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "src/platform/log_service.h"
+#include "src/services/log_service.h"
 
 namespace Poco::Net {
 class HTTPClientSession;
--- a/src/platform/http_worker_service.h
+++ b/src/services/http_worker_service.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "src/codec/object_reader.h"
-#include "src/platform/worker_service.h"
+#include "src/services/worker_service.h"
 
 namespace Poco::Net {
 class HTTPClientSession;
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -30,10 +30,12 @@
 
 LedgerFollower::LedgerFollower(Options options,
                                std::unique_ptr<LogStore> store,
-                               std::unique_ptr<LogStore> second)
+                               std::unique_ptr<LogStore> second,
+                               Metrics& metrics)
     : options_(std::move(options)),
       store_(std::move(store)),
-      second_(std::move(second)) {}
+      second_(std::move(second)),
+      metrics_(metrics) {}
 
 LedgerFollower::~LedgerFollower() {
   stopping_ = true;
@@ -152,7 +154,9 @@
       LogEvent("record_unreadable").With("offset", r.offset);
       continue;
     }
-    if (ledger_.Apply(now, *record) && on_record_) {
+    if (!ledger_.Apply(now, *record)) {
+      metrics_.Add(Counter::kRecordsVoid);
+    } else if (on_record_) {
       on_record_(ledger_, *record, r.offset);
     }
   }
@@ -202,6 +206,8 @@
       continue;
     }
     if (read.kind == ReadResult::Kind::kFailed) {
+      metrics_.Add(Counter::kLogReadsFailed);
+      metrics_.Set(Gauge::kLogVisible, 0);
       if (readable) {
         LogEvent("log_lost").With("reason", read.reason);
       }
@@ -215,6 +221,8 @@
       view_.readable_since = sent;
     }
     readable = true;
+    metrics_.Add(Counter::kLogReads);
+    metrics_.Set(Gauge::kLogVisible, 1);
     ApplyAll(read, sent);
     Announce();
   }
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "src/jobs/ledger.h"
+#include "src/observability/metrics.h"
 #include "src/store/log_store.h"
 #include "src/store/record_ring.h"
 
@@ -38,7 +39,8 @@
   // `second` reads what the first connection does not bring in time.
   LedgerFollower(Options options,
                  std::unique_ptr<LogStore> store,
-                 std::unique_ptr<LogStore> second);
+                 std::unique_ptr<LogStore> second,
+                 Metrics& metrics);
   ~LedgerFollower();
 
   // Says that the log reaches at least this far. If the waiting read does not
@@ -76,6 +78,7 @@
   const Options options_;
   const std::unique_ptr<LogStore> store_;
   const std::unique_ptr<LogStore> second_;
+  Metrics& metrics_;
   std::function<void()> on_gap_;
   OnRecord on_record_;
   mutable std::shared_mutex ledger_mutex_;  // Guards ledger_ and view_.
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -33,8 +33,11 @@
 }  // namespace
 
 LedgerWriter::LedgerWriter(LogPartition partition,
-                           std::unique_ptr<LogStore> store)
-    : partition_(std::move(partition)), store_(std::move(store)) {
+                           std::unique_ptr<LogStore> store,
+                           Metrics& metrics)
+    : partition_(std::move(partition)),
+      store_(std::move(store)),
+      metrics_(metrics) {
   thread_ = std::thread([this] { Loop(); });
 }
 
@@ -161,6 +164,9 @@
     const AppendResult result = store_->Append(partition_, records, {}, limit);
     if (result.kind == AppendResult::Kind::kStored) {
       failing_ = false;
+      metrics_.Add(Counter::kAppends);
+      metrics_.Add(Counter::kAppendRecords, batch.size());
+      metrics_.Observe(Latency::kAppend, ToSeconds(BootTime() - sent));
       pause = kFirstPause;
       if (on_stored_) {
         on_stored_(result.offset + static_cast<std::int64_t>(batch.size()));
@@ -170,6 +176,9 @@
       continue;
     }
     failing_ = true;
+    metrics_.Add(result.kind == AppendResult::Kind::kUnknown
+                     ? Counter::kAppendsUnknown
+                     : Counter::kAppendsFailed);
     LogEvent("append_failed")
         .With("records", records.size())
         .With("settled", result.kind == AppendResult::Kind::kRefused)
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "src/jobs/ledger_record.h"
+#include "src/observability/metrics.h"
 #include "src/store/log_store.h"
 
 namespace marjoramplank {
@@ -34,7 +35,9 @@
     std::function<void(Outcome, Time sent)> done;
   };
 
-  LedgerWriter(LogPartition partition, std::unique_ptr<LogStore> store);
+  LedgerWriter(LogPartition partition,
+               std::unique_ptr<LogStore> store,
+               Metrics& metrics);
   ~LedgerWriter();
 
   // Called on the writer's thread with the end of what has been stored.
@@ -73,6 +76,7 @@
 
   const LogPartition partition_;
   const std::unique_ptr<LogStore> store_;
+  Metrics& metrics_;
   std::mutex mutex_;  // Guards the three below.
   std::condition_variable ready_;
   std::deque<Pending> queue_;
