Supervisor: each life of a worker is listed only after its orders are known

After a restart the ledger was current before the worker's first heartbeat; the listing right after it settled nothing, and orders of the earlier process were then taken for new ones and refused while they ran. Ruled out: the order of ends and reports (the run had not ended). Change: the ledger must have been current within this life of the worker. tests/unit/supervisor_test.cc has the sequence; it failed before.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -60,6 +60,7 @@
   seen_end_ = 0;
   seen_end_told_ = 0;
   departed_ = false;
+  known_ = false;
   settle_ = true;
   clock_ms_ = 0;
   clock_at_ = now;
@@ -127,7 +128,6 @@
 
 void Supervisor::OnLedger(Time now, const Ledger& ledger, bool current) {
   current_ = current;
-  known_ = known_ || current;
   const AgentEntry* self = ledger.FindAgent(options_.agent);
   if (fence_ == 0 && self != nullptr && self->process == options_.process) {
     fence_ = self->starts * kFencesOfProcess;
@@ -135,6 +135,7 @@
   if (!worker_ || departed_) {
     return;
   }
+  known_ = known_ || current;
   const WorkerEntry* entry = ledger.FindWorker(worker_->life);
   const WorkerReported report = Report(now);
   announced_ = entry != nullptr && !entry->gone;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -108,7 +108,7 @@
   bool departed_ = false;
   bool settle_ = false;     // Starts must be settled by a listing.
   bool current_ = false;    // The ledger was current when last seen.
-  bool known_ = false;      // It has been current once.
+  bool known_ = false;      // It has been current in this life.
   bool announced_ = false;  // The ledger knows this life as it is.
   Time report_sent_{0};
   std::map<TaskRef, LocalRun> runs_;
--- a/tests/unit/supervisor_test.cc
+++ b/tests/unit/supervisor_test.cc
@@ -77,6 +77,16 @@
     CHECK(s.TakeOrders(now).empty());
   }
 
+  SECTION("nothing is listed between a heartbeat and the next look at it") {
+    Supervisor early({.agent = "agent", .process = "new"});
+    ledger.Apply(now, AgentBeat{.agent = "agent", .process = "new"});
+    early.OnLedger(now, ledger, /*current=*/true);
+    early.OnHeartbeat(now, Heartbeat(1));
+    CHECK_FALSE(early.NextHold(now).has_value());
+    early.OnLedger(now, ledger, /*current=*/true);
+    CHECK(early.NextHold(now).has_value());
+  }
+
   SECTION("a task that ended as done while nobody looked") {
     ledger.Apply(now, AgentBeat{.agent = "agent", .process = "new"});
     s.OnLedger(now, ledger, /*current=*/true);
