--- a/include/marjoramplank/inventory.h
+++ b/include/marjoramplank/inventory.h
@@ -89,6 +89,9 @@
 // references, values out of range.
 std::vector<FieldError> CheckInventory(const Inventory& inventory);
 
+// What can be said of a request without an inventory: ids, ranges, sizes.
+std::vector<FieldError> CheckJobFields(const JobSpec& spec);
+
 // Finds every fault of a request against the inventory: unknown account,
 // oversized gang, a shape that no data centre could hold even when empty. An
 // empty list means that the job can run when its resources are free.
--- a/src/codec/object_reader.cc
+++ b/src/codec/object_reader.cc
@@ -179,6 +179,29 @@
   }
 }
 
+// Refuses an object in which a key stands twice: which of the two counts would
+// be a guess.
+class UniqueKeyHandler final : public Poco::JSON::ParseHandler {
+ public:
+  void startObject() override {
+    keys_.emplace_back();
+    ParseHandler::startObject();
+  }
+  void endObject() override {
+    keys_.pop_back();
+    ParseHandler::endObject();
+  }
+  void key(const std::string& k) override {
+    if (!keys_.back().insert(k).second) {
+      throw Poco::JSON::JSONException("the key \"" + k + "\" stands twice");
+    }
+    ParseHandler::key(k);
+  }
+
+ private:
+  std::vector<std::set<std::string>> keys_;
+};
+
 Result<Poco::JSON::Object::Ptr> ParseObject(const std::string& text) {
   const auto fault = [](const std::string& message) {
     return Error{.code = ErrorCode::kInvalidArgument,
@@ -186,7 +209,7 @@
                  .message = message};
   };
   try {
-    Poco::JSON::Parser parser;
+    Poco::JSON::Parser parser(new UniqueKeyHandler);
     parser.setDepth(kMaxDepth);
     const Poco::Dynamic::Var v = parser.parse(text);
     if (v.type() != typeid(Poco::JSON::Object::Ptr)) {
--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Body of a request to run a job: the payload, escaped, and the fields.
+constexpr std::size_t kMaxSubmitBytes = 512U << 10;
+
 constexpr Duration kTick = 50ms;
 constexpr Duration kTailWait =
     250ms;  // Longest wait of a read of the log's tail.
@@ -318,6 +321,11 @@
 }
 
 HttpResponse EntryHost::Submit(const HttpRequest& request) {
+  if (request.body.size() > kMaxSubmitBytes) {
+    return FieldErrorResponse(
+        "submit.parse", {{"", "the body has more than " +
+                                  std::to_string(kMaxSubmitBytes) + " bytes"}});
+  }
   const Result<Poco::JSON::Object::Ptr> parsed = ParseObject(request.body);
   if (const Error* e = std::get_if<Error>(&parsed)) {
     return FieldErrorResponse("submit.parse", {{"", e->message}});
@@ -330,6 +338,10 @@
   if (config.inventory != nullptr) {
     const std::vector<FieldError> more = CheckJobSpec(spec, *config.inventory);
     errors.insert(errors.end(), more.begin(), more.end());
+  } else {
+    // What is wrong in itself is said also while the log is away.
+    const std::vector<FieldError> more = CheckJobFields(spec);
+    errors.insert(errors.end(), more.begin(), more.end());
   }
   if (!errors.empty()) {
     return FieldErrorResponse("submit.check", errors);
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -24,7 +24,13 @@
 constexpr int kBadRequest = 400;
 
 // Reads at most `limit` bytes. Returns false if there are more.
-bool ReadBody(std::istream& in, std::size_t limit, std::string& out) {
+bool ReadBody(std::istream& in,
+              std::streamsize declared,
+              std::size_t limit,
+              std::string& out) {
+  if (declared > 0 && static_cast<std::size_t>(declared) > limit) {
+    return false;  // Not a byte of it is read.
+  }
   char buf[16 * 1024];
   while (in.read(buf, sizeof buf) || in.gcount() > 0) {
     if (out.size() + static_cast<std::size_t>(in.gcount()) > limit) {
@@ -95,7 +101,8 @@
                R"({"error":{"code":"invalid_argument","message":"malformed URI"}})"});
       return;
     }
-    if (!ReadBody(in.stream(), options_.max_body_bytes, request.body)) {
+    if (!ReadBody(in.stream(), in.getContentLength(), options_.max_body_bytes,
+                  request.body)) {
       out.setKeepAlive(false);
       Send(
           out,
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -38,7 +38,7 @@
     std::int32_t threads = 16;  // Requests served at once.
     std::int32_t queue = 256;   // Connections that wait beyond that.
     std::size_t max_body_bytes =
-        64U << 20;  // Larger bodies are refused with status 413.
+        16U << 20;  // Larger bodies are refused with status 413.
     // Header that says how many ms the caller waits. Empty: none.
     std::string patience_header;
     std::int32_t idle_s = 15;  // Seconds until an idle connection is closed.
--- a/src/model/inventory.cc
+++ b/src/model/inventory.cc
@@ -188,6 +188,19 @@
                   PromisedTo(*inventory.FindAccount(spec.account)));
 }
 
+// Ids are shown in logs and paths: a control character would hide there.
+void CheckNoControls(const std::string& text,
+                     const std::string& path,
+                     std::vector<FieldError>& out) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  const bool hidden = std::any_of(text.begin(), text.end(), [](char c) {
+    return static_cast<unsigned char>(c) < kFirstPrintable;
+  });
+  if (hidden) {
+    out.push_back({path, "must not contain control characters"});
+  }
+}
+
 }  // namespace
 
 const DataCentreSpec* Inventory::FindDataCentre(const std::string& name) const {
@@ -220,18 +233,15 @@
   return out;
 }
 
-std::vector<FieldError> CheckJobSpec(const JobSpec& spec,
-                                     const Inventory& inventory) {
+std::vector<FieldError> CheckJobFields(const JobSpec& spec) {
   std::vector<FieldError> out;
   if (spec.request_id.empty() || spec.request_id.size() > kMaxRequestIdBytes) {
     out.push_back(
         {"request_id",
          "must have 1 to " + std::to_string(kMaxRequestIdBytes) + " bytes"});
   }
-  const AccountSpec* const account = inventory.FindAccount(spec.account);
-  if (account == nullptr) {
-    out.push_back({"account", "no such client account: " + spec.account});
-  }
+  CheckNoControls(spec.request_id, "request_id", out);
+  CheckNoControls(spec.account, "account", out);
   CheckRange(spec.tasks, 1, kMaxGangTasks, "tasks", out);
   CheckRange(spec.shape.cores, 0, 1 << 16, "cores", out);
   CheckRange(spec.shape.memory_mb, 0, 1 << 28, "memory_mb", out);
@@ -244,6 +254,16 @@
     out.push_back({"payload", "must have at most " +
                                   std::to_string(kMaxPayloadBytes) + " bytes"});
   }
+  return out;
+}
+
+std::vector<FieldError> CheckJobSpec(const JobSpec& spec,
+                                     const Inventory& inventory) {
+  std::vector<FieldError> out = CheckJobFields(spec);
+  const AccountSpec* const account = inventory.FindAccount(spec.account);
+  if (account == nullptr) {
+    out.push_back({"account", "no such client account: " + spec.account});
+  }
   const auto known_region = [&](const DataCentreSpec& dc) {
     return dc.region == spec.region;
   };
--- a/src/node/job_desk.cc
+++ b/src/node/job_desk.cc
@@ -34,11 +34,12 @@
       writer_(writer),
       metrics_(metrics) {}
 
-DeskAnswer JobDesk::NotRun(const std::string& reason) const {
+DeskAnswer JobDesk::NotRun(const std::string& reason,
+                           Duration retry_after) const {
   metrics_.Add(Counter::kSubmitsRefused);
   return {.kind = DeskAnswer::Kind::kNotRun,
           .reason = reason,
-          .retry_after = options_.retry_after};
+          .retry_after = retry_after};
 }
 
 bool JobDesk::Ready(Time now) const {
@@ -53,12 +54,14 @@
   Admission out;
   const auto view = rules_.view();
   if (!view->loaded) {
-    out.refusal = NotRun("no configuration has been read yet");
+    out.refusal =
+        NotRun("no configuration has been read yet", options_.retry_after);
     return out;
   }
   if (const Duration age = view->Age(BootTime()); age > options_.rules_limit) {
     out.refusal = NotRun("the configuration was last confirmed " +
-                         std::to_string(age.count()) + " ms ago");
+                             std::to_string(age.count()) + " ms ago",
+                         options_.retry_after_outage);
     return out;
   }
   const QueueRule* queue = view->rules.FindQueue(call.host, call.path);
@@ -113,7 +116,7 @@
         .With("job", request.id)
         .With("reason", "the log has not been read lately")
         .With("age_ms", age.count());
-    return NotRun("the log cannot be reached");
+    return NotRun("the log cannot be reached", options_.retry_after_outage);
   }
   const std::string id = request.id;
   const JobStep first = request.steps.front();
@@ -137,13 +140,15 @@
                        ToSeconds(BootTime() - call.arrived));
       return {};
     case LedgerWriter::Outcome::kNotStored:
-      return NotRun("the log did not take the job");
+      return NotRun("the log did not take the job",
+                    options_.retry_after_outage);
     case LedgerWriter::Outcome::kUnknown:
       metrics_.Add(Counter::kSubmitsUnsettled);
       break;
   }
   return {.kind = DeskAnswer::Kind::kUnsettled,
-          .reason = "the log did not say whether it took the job"};
+          .reason = "the log did not say whether it took the job",
+          .retry_after = options_.retry_after};
 }
 
 DeskAnswer JobDesk::Show(const DeskCall& call) const {
@@ -155,7 +160,8 @@
     const Duration age = BootTime() - view.as_of;
     if (!view.loaded || age > options_.ledger_limit) {
       return NotRun("the ledger was last confirmed " +
-                    std::to_string(age.count()) + " ms ago");
+                        std::to_string(age.count()) + " ms ago",
+                    options_.retry_after_outage);
     }
     if (admitted.job.empty()) {
       return DeskAnswer{.waiting =
@@ -183,11 +189,13 @@
       .With("outcome", ToString(outcome))
       .With("took_ms", (BootTime() - call.arrived).count());
   if (outcome == LedgerWriter::Outcome::kNotStored) {
-    return NotRun("the log did not take the cancellation");
+    return NotRun("the log did not take the cancellation",
+                  options_.retry_after_outage);
   }
   if (outcome == LedgerWriter::Outcome::kUnknown) {
     return {.kind = DeskAnswer::Kind::kUnsettled,
-            .reason = "the log did not say whether it took the cancellation"};
+            .reason = "the log did not say whether it took the cancellation",
+            .retry_after = options_.retry_after};
   }
   return {};
 }
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -55,6 +55,9 @@
     // a slow answer.
     Duration store_lost_after{1400};
     Duration retry_after{1000};  // Told to callers that are refused.
+    // Told while the log or the rules cannot be reached: outages last seconds,
+    // and a caller's retries are few.
+    Duration retry_after_outage{2000};
   };
 
   JobDesk(Options options,
@@ -80,7 +83,7 @@
     std::string job;
   };
   Admission Admit(const DeskCall& call) const;
-  DeskAnswer NotRun(const std::string& reason) const;
+  DeskAnswer NotRun(const std::string& reason, Duration retry_after) const;
   Time AppendDeadline(const DeskCall& call) const;
 
   const Options options_;
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -58,6 +58,7 @@
   void Append(const LedgerRecord& record);
   void SubmitSome();
   void PlanOnce();
+  void ListTasks(Agent& agent);
   void StepAgent(Agent& agent);
   void Carry(Agent& agent, const OrderCall& call);
   OrderReply DoOrder(FakeWorker& worker, const OrderCall& call);
--- /dev/null
+++ b/tests/unit/bad_input_test.cc
@@ -0,0 +1,75 @@
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <catch2/catch.hpp>
+
+#include "marjoramplank/inventory.h"
+#include "src/codec/object_reader.h"
+#include "src/daemon/http_server.h"
+#include "src/jobs/job_request.h"
+#include "src/jobs/ledger_codec.h"
+#include "src/node/node_settings.h"
+
+namespace marjoramplank {
+namespace {
+
+TEST_CASE("bad input", "[input]") {
+  SECTION("a key that stands twice is named") {
+    const auto parsed = ParseObject(R"({"tasks":1,"x":{"tasks":2},"tasks":3})");
+    REQUIRE_FALSE(IsOk(parsed));
+    CHECK(std::get<Error>(parsed).message.find("tasks") != std::string::npos);
+  }
+  SECTION("the same key in two objects is sound") {
+    CHECK(IsOk(ParseObject(R"({"a":{"k":1},"b":{"k":2}})")));
+  }
+  SECTION("a request is checked without an inventory") {
+    const std::vector<FieldError> faults = CheckJobFields(
+        {.request_id = std::string("a\0b", 3), .account = "x", .tasks = -5});
+    REQUIRE(faults.size() == 2);
+    CHECK(faults[0].path == "request_id");
+    CHECK(faults[1].path == "tasks");
+  }
+  SECTION("a body that is declared too large is refused unread") {
+    HttpServer server({.address = "127.0.0.1:0", .max_body_bytes = 1000},
+                      [](const HttpRequest&) { return HttpResponse{}; });
+    Poco::Net::HTTPClientSession session(
+        Poco::Net::SocketAddress(server.address()));
+    Poco::Net::HTTPRequest request("POST", "/", "HTTP/1.1");
+    request.setContentLength(50'000'000);
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    session.receiveResponse(response);
+    CHECK(response.getStatus() == 413);
+  }
+  SECTION("a job of steps: every fault is named") {
+    JobRequest job{.id = "",
+                   .payload = std::string(5000, 'x'),
+                   .steps = {{.tasks = 0, .after = {0}}}};
+    CHECK(CheckJobRequest(job).size() == 4);
+    job = {.id = "j", .steps = {{.tasks = 30'000}}};
+    CHECK(CheckJobRequest(job).size() == 1);
+  }
+  SECTION("a task's name") {
+    TaskRef task;
+    CHECK(ParseTaskRef("ab.0.1.17", task));
+    CHECK(task == TaskRef{.job = "ab", .step = 1, .index = 17});
+    for (const char* bad : {"", "ab", "ab.0.1", "ab.0.1.x", "ab.0.1.-2",
+                            ".0.1.2", "ab.0.1.2.3", "ab.99999999999.0.0"}) {
+      CHECK_FALSE(ParseTaskRef(bad, task));
+    }
+  }
+  SECTION("bytes that are no record") {
+    CHECK_FALSE(DecodeRecord("").has_value());
+    CHECK_FALSE(DecodeRecord(std::string(40, '\xff')).has_value());
+  }
+  SECTION("settings: missing and unknown keys are listed") {
+    std::vector<FieldError> errors;
+    ParseNodeSettings(R"({"name":"n","colour":1})", errors);
+    CHECK(errors.size() == 3);
+  }
+}
+
+}  // namespace
+}  // namespace marjoramplank
