--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -20,6 +20,32 @@
 // Longest wait of a read, whatever was asked for.
 constexpr Duration kLongestWait = 2s;
 
+constexpr auto kNotStored =
+    static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
+
+// Outcome of several records appended for one call: the worst of theirs. Told
+// from the writer's thread.
+class GatheredOutcome {
+ public:
+  using Fulfiller = kj::Own<kj::CrossThreadPromiseFulfiller<std::uint8_t>>;
+
+  GatheredOutcome(std::size_t records, Fulfiller fulfiller)
+      : left_(records), fulfiller_(kj::mv(fulfiller)) {}
+
+  void Add(LedgerWriter::Outcome outcome) {
+    worst_ = std::max(worst_, static_cast<std::uint8_t>(outcome));
+    --left_;
+    if (left_ == 0) {
+      fulfiller_->fulfill(kj::mv(worst_));
+    }
+  }
+
+ private:
+  std::size_t left_;
+  std::uint8_t worst_ = 0;
+  Fulfiller fulfiller_;
+};
+
 }  // namespace
 
 // Reads that wait for something new. All but Wake() on the loop's thread.
@@ -94,41 +120,35 @@
     if (open_appends_ > 0 && writer_.failing()) {
       // Cut off itself: the caller has other ways. One append at a time is let
       // through to find out when that is over.
-      constexpr auto kNotStored =
-          static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
       context.getResults().setOutcome(kNotStored);
       return kj::READY_NOW;
     }
-    auto pair = kj::newPromiseAndCrossThreadFulfiller<std::uint8_t>();
-    using Shared = kj::Own<kj::CrossThreadPromiseFulfiller<std::uint8_t>>;
-    auto done = std::make_shared<Shared>(kj::mv(pair.fulfiller));
-    const auto params = context.getParams();
-    const auto records = params.getRecords();
-    const Time deadline = BootTime() + Duration(params.getLimitMs());
-    auto left = std::make_shared<std::atomic<unsigned>>(records.size());
-    auto worst = std::make_shared<std::atomic<std::uint8_t>>(0);
-    for (const auto bytes : records) {
+    std::vector<LedgerRecord> records;
+    for (const auto bytes : context.getParams().getRecords()) {
       std::optional<LedgerRecord> record = DecodeRecord(std::string(
           reinterpret_cast<const char*>(bytes.begin()), bytes.size()));
-      KJ_REQUIRE(record.has_value(), "a record of an unknown kind");
-      writer_.Append(
-          {.record = std::move(*record),
-           .deadline = deadline,
-           .done = [done, left, worst](LedgerWriter::Outcome outcome, Time) {
-             const auto n = static_cast<std::uint8_t>(outcome);
-             std::uint8_t seen = worst->load();
-             bool raised = n <= seen;
-             while (!raised) {
-               raised = worst->compare_exchange_weak(seen, n) || n <= seen;
-             }
-             if (--*left == 0) {
-               (*done)->fulfill(worst->load());
-             }
-           }});
+      if (!record) {
+        LogEvent("relay_record_unreadable").With("bytes", bytes.size());
+        context.getResults().setOutcome(kNotStored);
+        return kj::READY_NOW;
+      }
+      records.push_back(std::move(*record));
     }
-    if (records.size() == 0) {
+    if (records.empty()) {
       return kj::READY_NOW;
     }
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<std::uint8_t>();
+    auto gathered = std::make_shared<GatheredOutcome>(records.size(),
+                                                      kj::mv(pair.fulfiller));
+    const Time deadline =
+        BootTime() + Duration(context.getParams().getLimitMs());
+    for (LedgerRecord& record : records) {
+      writer_.Append({.record = std::move(record),
+                      .deadline = deadline,
+                      .done = [gathered](LedgerWriter::Outcome outcome, Time) {
+                        gathered->Add(outcome);
+                      }});
+    }
     ++open_appends_;
     return pair.promise.then([this, context](std::uint8_t outcome) mutable {
       --open_appends_;
