--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,6 +21,11 @@
 
 }  // namespace
 
+Duration Dispatcher::EstimateOf(const JobStep& step) const {
+  return step.estimate > Duration(0) ? step.estimate
+                                     : options_.unknown_estimate;
+}
+
 bool Dispatcher::IsDistrusted(const Input& in,
                               const WorkerEntry& worker) const {
   const Duration quiet = in.now - worker.last_trouble;
@@ -105,8 +110,7 @@
         continue;
       }
       const JobStep& step = r.steps[s];
-      const Duration estimate =
-          step.estimate > 0ms ? step.estimate : options_.unknown_estimate;
+      const Duration estimate = EstimateOf(step);
       Resources need = step.need;
       if (step.uses_idle_cpu) {
         need.cpu_milli = 0;
@@ -190,10 +194,7 @@
                                         const RoomTable& rooms,
                                         const WaitingUnit& unit) const {
   const Duration waited = in.now - unit.due;
-  const auto estimate = static_cast<double>((unit.step->estimate > 0ms
-                                                 ? unit.step->estimate
-                                                 : options_.unknown_estimate)
-                                                .count());
+  const auto estimate = static_cast<double>(EstimateOf(*unit.step).count());
   const bool tight = unit.step->gang && unit.step->same_rack;
   const bool bound =
       (tight && FitsSomeRack(rooms, unit)) ||
--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -89,11 +89,12 @@
     faults.emplace_back("the job has no id");
   }
   if (request.payload.size() > kMaxJobPayloadBytes) {
-    faults.emplace_back("the payload is longer than 4000 bytes");
+    faults.push_back("the payload is longer than " +
+                     std::to_string(kMaxJobPayloadBytes) + " bytes");
   }
   if (request.steps.empty() ||
       request.steps.size() > static_cast<std::size_t>(kMaxSteps)) {
-    faults.emplace_back("a job has 1 to 64 steps");
+    faults.push_back("a job has 1 to " + std::to_string(kMaxSteps) + " steps");
   }
   if (request.recurrence.times < 0 || request.recurrence.interval_ms < 0) {
     faults.emplace_back("the recurrence has a negative number");
@@ -105,7 +106,8 @@
   }
   tasks *= std::max(1, request.recurrence.times);
   if (tasks > kMaxTasksOfJob) {
-    faults.emplace_back("the job has more than 20000 tasks");
+    faults.push_back("the job has more than " + std::to_string(kMaxTasksOfJob) +
+                     " tasks");
   }
   return faults;
 }
--- a/src/jobs/lease_rules.h
+++ b/src/jobs/lease_rules.h
@@ -16,9 +16,14 @@
   Duration lease{8000};         // Of one renewal; the platform bounds it.
   Duration slack{500};  // Travel of a call to the worker and of its answer.
 
+  // Longest that one renewal lasts in our time: a worker's clock may be 2%
+  // slow.
+  Duration LongestLease() const {
+    constexpr std::int64_t kSlowPercent = 2;
+    return lease + lease * kSlowPercent / (100 - kSlowPercent);
+  }
   Duration SilentForGood() const {
-    constexpr std::int64_t kSlowClockPercent = 2;  // Of a worker's clock.
-    return renew_within + lease + lease * kSlowClockPercent / 98 + slack;
+    return renew_within + LongestLease() + slack;
   }
   // Without a beat for this long, a worker gets no new work: two beats and the
   // travel.
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -116,7 +116,7 @@
   for (std::thread& thread : threads_) {
     thread.join();
   }
-  writer_.Drain(300ms);
+  writer_.Drain(kCloseLimit);
 }
 
 std::unique_ptr<LogStore> AgentNode::OpenRelayed(
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -77,7 +77,7 @@
 EntryNode::~EntryNode() {
   stopping_ = true;
   planner_thread_.join();
-  writer_.Drain(500ms);
+  writer_.Drain(kCloseLimit);
 }
 
 bool EntryNode::Ready() const {
--- a/src/services/http_log_service.cc
+++ b/src/services/http_log_service.cc
@@ -1,10 +1,6 @@
 #include "src/services/http_log_service.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
 
 #include "src/codec/object_reader.h"
 
@@ -12,7 +8,6 @@
 
 namespace {
 
-using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 std::string RecordsBody(const std::vector<std::string>& lines) {
@@ -46,71 +41,41 @@
 }  // namespace
 
 HttpLogService::HttpLogService(Options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      caller_(options_.host + ":" + std::to_string(options_.port)) {}
 HttpLogService::~HttpLogService() = default;
 
-Poco::Net::HTTPClientSession& HttpLogService::Session(Duration timeout) {
-  if (session_ == nullptr) {
-    session_ = std::make_unique<Poco::Net::HTTPClientSession>(options_.host,
-                                                              options_.port);
-    session_->setKeepAlive(true);
-  }
-  session_->setTimeout(Poco::Timespan(timeout.count() * 1000));
-  return *session_;
-}
-
 AppendOutcome HttpLogService::Append(const std::vector<std::string>& lines) {
-  bool sent = false;
-  try {
-    Poco::Net::HTTPClientSession& session = Session(options_.timeout);
-    const std::string body = RecordsBody(lines);
-    HTTPRequest request(HTTPRequest::HTTP_POST, options_.stream,
-                        HTTPRequest::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<std::int64_t>(body.size()));
-    sent = session.connected();  // On a kept connection even a failed send may
-                                 // have gone through.
-    std::ostream& out = session.sendRequest(request);
-    sent = true;
-    out << body;
-    HTTPResponse response;
-    std::string text;
-    Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-    switch (response.getStatus()) {
-      case HTTPResponse::HTTP_OK:
-        return AppendOutcome::kStored;
-      case HTTPResponse::HTTP_SERVICE_UNAVAILABLE:
-      case HTTPResponse::HTTP_TOO_MANY_REQUESTS:
-        return AppendOutcome::kRefused;
-      default:
-        return AppendOutcome::kUnknown;
-    }
-  } catch (const Poco::Exception&) {
-    session_.reset();
-    return sent ? AppendOutcome::kUnknown : AppendOutcome::kRefused;
+  const HttpAnswer answer = caller_.Do({.method = "POST",
+                                        .target = options_.stream,
+                                        .body = RecordsBody(lines),
+                                        .limit = options_.timeout});
+  if (answer.kind == HttpAnswer::Kind::kNotSent) {
+    return AppendOutcome::kRefused;
+  }
+  switch (answer.status) {
+    case HTTPResponse::HTTP_OK:
+      return AppendOutcome::kStored;
+    case HTTPResponse::HTTP_SERVICE_UNAVAILABLE:
+    case HTTPResponse::HTTP_TOO_MANY_REQUESTS:
+      return AppendOutcome::kRefused;
+    default:
+      return AppendOutcome::kUnknown;
   }
 }
 
 LogRead HttpLogService::Read(Offset from,
                              std::int32_t max_records,
                              Duration wait) {
-  LogRead out;
-  try {
-    Poco::Net::HTTPClientSession& session = Session(options_.timeout + wait);
-    HTTPRequest request(HTTPRequest::HTTP_GET,
-                        options_.stream + "?from=" + std::to_string(from) +
+  const HttpAnswer answer =
+      caller_.Do({.method = "GET",
+                  .target = options_.stream + "?from=" + std::to_string(from) +
                             "&max=" + std::to_string(max_records) +
                             "&wait_ms=" + std::to_string(wait.count()),
-                        HTTPRequest::HTTP_1_1);
-    session.sendRequest(request);
-    HTTPResponse response;
-    std::string text;
-    Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-    out.ok =
-        response.getStatus() == HTTPResponse::HTTP_OK && ParseRead(text, out);
-  } catch (const Poco::Exception&) {
-    session_.reset();
-  }
+                  .limit = options_.timeout + wait});
+  LogRead out;
+  out.ok =
+      answer.status == HTTPResponse::HTTP_OK && ParseRead(answer.body, out);
   return out;
 }
 
--- a/src/services/http_log_service.h
+++ b/src/services/http_log_service.h
@@ -3,12 +3,9 @@
 #include <memory>
 #include <string>
 
+#include "src/net/http_caller.h"
 #include "src/services/log_service.h"
 
-namespace Poco::Net {
-class HTTPClientSession;
-}
-
 namespace marjoramplank {
 
 // Speaks to the platform's log over HTTP/JSON:
@@ -33,10 +30,8 @@
   LogRead Read(Offset from, std::int32_t max_records, Duration wait) override;
 
  private:
-  Poco::Net::HTTPClientSession& Session(Duration timeout);
-
   Options options_;
-  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+  HttpCaller caller_;
 };
 
 }  // namespace marjoramplank
--- a/src/services/http_worker_service.cc
+++ b/src/services/http_worker_service.cc
@@ -1,10 +1,6 @@
 #include "src/services/http_worker_service.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
 
 namespace marjoramplank {
 
@@ -12,7 +8,6 @@
 
 using Need = ObjectReader::Need;
 using Poco::JSON::Object;
-using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 Object::Ptr KeyToJson(const TaskKey& key) {
@@ -65,36 +60,16 @@
 }  // namespace
 
 HttpWorkerService::HttpWorkerService(Options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      caller_(options_.host + ":" + std::to_string(options_.port)) {}
 HttpWorkerService::~HttpWorkerService() = default;
 
-HttpWorkerService::Answer HttpWorkerService::Call(const std::string& method,
-                                                  const std::string& path,
-                                                  const std::string& body,
-                                                  Duration timeout) {
-  Answer out;
-  try {
-    if (session_ == nullptr) {
-      session_ = std::make_unique<Poco::Net::HTTPClientSession>(options_.host,
-                                                                options_.port);
-      session_->setKeepAlive(true);
-    }
-    session_->setTimeout(Poco::Timespan(timeout.count() * 1000));
-    HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<std::int64_t>(body.size()));
-    out.sent = session_->connected();
-    std::ostream& stream = session_->sendRequest(request);
-    out.sent = true;
-    stream << body;
-    HTTPResponse response;
-    Poco::StreamCopier::copyToString(session_->receiveResponse(response),
-                                     out.body);
-    out.status = response.getStatus();
-  } catch (const Poco::Exception&) {
-    session_.reset();
-  }
-  return out;
+HttpAnswer HttpWorkerService::Call(const std::string& method,
+                                   const std::string& path,
+                                   const std::string& body,
+                                   Duration timeout) {
+  return caller_.Do(
+      {.method = method, .target = path, .body = body, .limit = timeout});
 }
 
 WorkerService::StartReply HttpWorkerService::Start(const StartTask& task,
@@ -108,8 +83,8 @@
   body->set("payload", task.payload);
   body->set("traceparent", task.traceparent);
   body->set("lease_ms", lease.count());
-  const Answer answer =
-      Call(HTTPRequest::HTTP_POST, "/v1/tasks", ToText(body), options_.timeout);
+  const HttpAnswer answer =
+      Call("POST", "/v1/tasks", ToText(body), options_.timeout);
   switch (answer.status) {
     case HTTPResponse::HTTP_CREATED:
       return {.outcome = StartOutcome::kStarted};
@@ -119,8 +94,9 @@
       return {.outcome = StartOutcome::kRefused,
               .reason = ReasonOf(answer.body)};
     default:
-      return {.outcome =
-                  answer.sent ? StartOutcome::kUnknown : StartOutcome::kRefused,
+      return {.outcome = answer.kind == HttpAnswer::Kind::kNotSent
+                             ? StartOutcome::kRefused
+                             : StartOutcome::kUnknown,
               .reason = "the worker cannot be reached"};
   }
 }
@@ -129,8 +105,7 @@
   Object::Ptr body = KeyToJson(task.key);
   body->set("checkpoint", task.checkpoint);
   body->set("bound_ms", task.bound.count());
-  return Call(HTTPRequest::HTTP_POST, "/v1/tasks/stop", ToText(body),
-              options_.timeout)
+  return Call("POST", "/v1/tasks/stop", ToText(body), options_.timeout)
              .status == HTTPResponse::HTTP_OK;
 }
 
@@ -143,14 +118,13 @@
   Object::Ptr body = new Object;
   body->set("tasks", tasks);
   body->set("lease_ms", lease.count());
-  return Call(HTTPRequest::HTTP_POST, "/v1/tasks/renew", ToText(body),
-              options_.timeout)
+  return Call("POST", "/v1/tasks/renew", ToText(body), options_.timeout)
              .status == HTTPResponse::HTTP_OK;
 }
 
 bool HttpWorkerService::Remove(const TaskKey& key) {
-  return Call(HTTPRequest::HTTP_POST, "/v1/tasks/remove",
-              ToText(KeyToJson(key)), options_.timeout)
+  return Call("POST", "/v1/tasks/remove", ToText(KeyToJson(key)),
+              options_.timeout)
              .status == HTTPResponse::HTTP_OK;
 }
 
@@ -158,8 +132,7 @@
                                                        Duration wait) {
   const std::string path = "/v1/tasks?known=" + std::to_string(known) +
                            "&wait_ms=" + std::to_string(wait.count());
-  const Answer answer =
-      Call(HTTPRequest::HTTP_GET, path, "", options_.timeout + wait);
+  const HttpAnswer answer = Call("GET", path, "", options_.timeout + wait);
   const Error fault{
       .code = ErrorCode::kUnavailable,
       .step = "worker.list",
--- a/src/services/http_worker_service.h
+++ b/src/services/http_worker_service.h
@@ -4,12 +4,9 @@
 #include <string>
 
 #include "src/codec/object_reader.h"
+#include "src/net/http_caller.h"
 #include "src/services/worker_service.h"
 
-namespace Poco::Net {
-class HTTPClientSession;
-}
-
 namespace marjoramplank {
 
 // Speaks to a worker's endpoint over HTTP/JSON:
@@ -39,18 +36,13 @@
   Result<Listing> List(std::int64_t known, Duration wait) override;
 
  private:
-  struct Answer {
-    int status = 0;     // 0: no answer.
-    bool sent = false;  // The request may have reached the worker.
-    std::string body;
-  };
-  Answer Call(const std::string& method,
-              const std::string& path,
-              const std::string& body,
-              Duration timeout);
+  HttpAnswer Call(const std::string& method,
+                  const std::string& path,
+                  const std::string& body,
+                  Duration timeout);
 
   Options options_;
-  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+  HttpCaller caller_;
 };
 
 }  // namespace marjoramplank
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -8,12 +8,6 @@
 
 namespace {
 
-// Leases end later in our time when the worker's clock is slow.
-Duration OnSlowClock(Duration lease) {
-  constexpr std::int64_t kSlowPercent = 2;
-  return lease + lease * kSlowPercent / 98;
-}
-
 // Fences that one run of the process may use. JSON numbers hold 2^53, which
 // leaves 2^29 runs.
 constexpr std::int64_t kFencesOfProcess = 1 << 24;
@@ -222,7 +216,7 @@
     }
     run.phase = Phase::kStarting;
     run.sent = true;
-    lease_end_ = std::max(lease_end_, now + OnSlowClock(options_.leases.lease));
+    lease_end_ = std::max(lease_end_, now + options_.leases.LongestLease());
     out.emplace_back(StartCall{.life = worker_->life,
                                .fence = fence_,
                                .task = task,
@@ -332,7 +326,7 @@
   call.fence = fence_;
   if (running && may_renew(now) && clock_ms_ > 0) {
     call.lease_until = LeaseUntil(now);
-    lease_end_ = std::max(lease_end_, now + OnSlowClock(options_.leases.lease));
+    lease_end_ = std::max(lease_end_, now + options_.leases.LongestLease());
   }
   constexpr Duration kStoppingWait = 60ms;
   if (running && !settle_ && !unrecorded) {
