--- /dev/null
+++ b/tests/unit/dispatcher_test.cc
@@ -0,0 +1,229 @@
+#include "src/dispatch/dispatcher.h"
+
+#include <catch2/catch.hpp>
+
+namespace marjoramplank {
+namespace {
+
+constexpr Time kNow = 100s;
+
+WorkerLife Life(int n) {
+  return {.id = "w" + std::to_string(n), .born_ms = 1};
+}
+
+// Six workers with 8 accelerators in two racks and two data centres.
+Ledger Cluster() {
+  Ledger ledger;
+  ledger.Apply(kNow, PlannerElected{.entry = "e", .epoch = 1});
+  for (int n = 0; n < 6; ++n) {
+    const std::string rack = n < 3 ? "r1" : "r2";
+    ledger.Apply(kNow, WorkerReported{.agent = "a" + std::to_string(n),
+                                      .life = Life(n),
+                                      .service = "s",
+                                      .data_centre = n < 3 ? "d1" : "d2",
+                                      .rack = rack,
+                                      .labels = {"kind", rack},
+                                      .capacity = {.cpu_milli = 64'000,
+                                                   .memory_mb = 64'000,
+                                                   .accelerators = 8}});
+  }
+  return ledger;
+}
+
+JobRequest Job(const std::string& id, std::int32_t priority, JobStep step) {
+  return {.id = id,
+          .account = "a",
+          .payload = "p",
+          .steps = {step},
+          .terms = {.queue = "q",
+                    .service = "s",
+                    .priority = priority,
+                    .max_attempts = 2,
+                    .stretch = 2,
+                    .target = 1s}};
+}
+
+RulesView Rules8() {
+  RulesView rules;
+  rules.loaded = true;
+  rules.rules.version = 1;
+  rules.rules.accounts = {{.name = "a", .guaranteed_accelerators = 24}};
+  return rules;
+}
+
+std::vector<LedgerRecord> Plan(const Ledger& ledger, const RulesView& rules) {
+  return Dispatcher({}).Plan(
+      {.now = kNow, .epoch = 1, .ledger = ledger, .rules = rules});
+}
+
+template <typename T>
+std::vector<T> Only(const std::vector<LedgerRecord>& records) {
+  std::vector<T> out;
+  for (const LedgerRecord& r : records) {
+    if (const auto* t = std::get_if<T>(&r)) {
+      out.push_back(*t);
+    }
+  }
+  return out;
+}
+
+TEST_CASE("dispatcher", "[dispatcher]") {
+  Ledger ledger = Cluster();
+  RulesView rules = Rules8();
+
+  SECTION("a tight gang starts whole in one rack") {
+    ledger.Apply(kNow, JobSubmitted{.request = Job("g", 1,
+                                                   {.tasks = 3,
+                                                    .need = {.accelerators = 8},
+                                                    .estimate = 2s,
+                                                    .gang = true,
+                                                    .same_rack = true})});
+    const auto starts = Only<RunStarted>(Plan(ledger, rules));
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].members.size() == 3);
+    const std::string rack =
+        ledger.FindWorker(starts[0].members[0].life)->report.rack;
+    for (const MemberPlace& m : starts[0].members) {
+      CHECK(ledger.FindWorker(m.life)->report.rack == rack);
+    }
+  }
+
+  SECTION("spread holds within one plan") {
+    ledger.Apply(kNow, JobSubmitted{.request = Job("p", 1,
+                                                   {.tasks = 8,
+                                                    .need = {.accelerators = 1},
+                                                    .max_per_worker = 1})});
+    const auto starts = Only<RunStarted>(Plan(ledger, rules));
+    CHECK(starts.size() == 6);
+    std::set<WorkerLife> used;
+    for (const RunStarted& s : starts) {
+      CHECK(used.insert(s.members[0].life).second);
+    }
+  }
+
+  SECTION("nothing starts in a data centre that is out") {
+    rules.closed_data_centres = {"d1"};
+    ledger.Apply(
+        kNow,
+        JobSubmitted{
+            .request = Job("p", 1, {.tasks = 6, .need = {.accelerators = 8}})});
+    const auto starts = Only<RunStarted>(Plan(ledger, rules));
+    CHECK(starts.size() == 3);
+    for (const RunStarted& s : starts) {
+      CHECK(ledger.FindWorker(s.members[0].life)->report.data_centre == "d2");
+    }
+  }
+
+  SECTION("nothing starts on a worker whose agent is silent") {
+    ledger.Apply(
+        kNow,
+        JobSubmitted{.request = Job("p", 1, {.need = {.accelerators = 1}})});
+    CHECK(Dispatcher({})
+              .Plan({.now = kNow + 4s,
+                     .epoch = 1,
+                     .ledger = ledger,
+                     .rules = rules})
+              .empty());
+  }
+
+  SECTION("a timed job waits for its due time") {
+    JobRequest job = Job("t", 1, {.need = {.accelerators = 1}});
+    job.recurrence = {
+        .times = 2, .first_due_unix_ms = 5000, .interval_ms = 1000};
+    ledger.Apply(kNow, JobSubmitted{.request = job});
+    const auto at = [&](std::int64_t unix_ms) {
+      return Dispatcher({}).Plan({.now = kNow,
+                                  .unix_ms = unix_ms,
+                                  .epoch = 1,
+                                  .ledger = ledger,
+                                  .rules = rules});
+    };
+    CHECK(at(4999).empty());
+    CHECK(at(5000).size() == 1);
+    CHECK(at(6000).size() == 2);
+  }
+
+  SECTION("a full cluster") {
+    ledger.Apply(
+        kNow,
+        JobSubmitted{.request = Job(
+                         "low", 2, {.tasks = 6, .need = {.accelerators = 8}})});
+    for (const LedgerRecord& r : Plan(ledger, rules)) {
+      ledger.Apply(kNow, r);
+    }
+    const JobRequest urgent = Job("urgent", 0,
+                                  {.tasks = 2,
+                                   .need = {.accelerators = 8},
+                                   .estimate = 2s,
+                                   .gang = true});
+    ledger.Apply(kNow, JobSubmitted{.request = urgent});
+
+    SECTION("gives way to a guaranteed job at once, by no more than it needs") {
+      const auto stops = Only<RunStopped>(Plan(ledger, rules));
+      REQUIRE(stops.size() == 2);
+      CHECK(stops[0].cause == StopCause::kReclaim);
+    }
+    SECTION("is not told twice to give way") {
+      for (const LedgerRecord& r : Plan(ledger, rules)) {
+        ledger.Apply(kNow, r);
+      }
+      CHECK(Plan(ledger, rules).empty());
+    }
+    SECTION("keeps the room that becomes free for the guaranteed job") {
+      const auto stops = Only<RunStopped>(Plan(ledger, rules));
+      for (const RunStopped& s : stops) {
+        ledger.Apply(kNow, s);
+      }
+      const WorkerLife freed = [&] {
+        for (const auto& [life, worker] : ledger.workers()) {
+          if (worker.runs.contains(stops[0].first)) {
+            return life;
+          }
+        }
+        return WorkerLife{};
+      }();
+      ledger.Apply(kNow, TaskEnded{.life = freed,
+                                   .number = 1,
+                                   .task = stops[0].first,
+                                   .run = 1,
+                                   .how = TaskEnd::kStopped});
+      CHECK(Only<RunStarted>(Plan(ledger, rules)).empty());
+    }
+  }
+
+  SECTION("a worker that fails all is passed over") {
+    for (int n = 0; n < 2; ++n) {
+      const std::string id = "f" + std::to_string(n);
+      ledger.Apply(
+          kNow,
+          JobSubmitted{.request = Job(id, 1, {.need = {.accelerators = 1}})});
+      ledger.Apply(kNow, RunStarted{.epoch = 1,
+                                    .first = {.job = id},
+                                    .run = 1,
+                                    .members = {{.life = Life(0)}}});
+      ledger.Apply(kNow, TaskEnded{.life = Life(0),
+                                   .number = n + 1,
+                                   .task = {.job = id},
+                                   .run = 1,
+                                   .how = TaskEnd::kFailed});
+    }
+    const auto starts = Only<RunStarted>(Plan(ledger, rules));
+    REQUIRE(starts.size() == 2);
+    for (const RunStarted& s : starts) {
+      CHECK(s.members[0].life != Life(0));
+    }
+  }
+
+  SECTION("a planner that was replaced decides nothing") {
+    ledger.Apply(
+        kNow,
+        JobSubmitted{.request = Job("p", 1, {.need = {.accelerators = 1}})});
+    const auto starts = Only<RunStarted>(Plan(ledger, rules));
+    REQUIRE(starts.size() == 1);
+    ledger.Apply(kNow, PlannerElected{.entry = "f", .epoch = 2});
+    CHECK_FALSE(ledger.Apply(kNow, starts[0]));
+  }
+}
+
+}  // namespace
+}  // namespace marjoramplank
