Cancels of unknown jobs are remembered up to a bound; a cancel names a job

Cause: anybody with a key could grow every process's memory by cancelling ids that were never handed in. Ruled out: forgetting them (a submission that is still on its way must stay cancelled). Change: 10,000 ids are kept; a cancel without an id is refused. bad_input_test has the bound.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -1,203 +1,203 @@
-# Records of the ledger, and its snapshot. Fields are only ever added.
+#Records of the ledger, and its snapshot.Fields are only ever added.
 @0xd2c0f4a1b7e36591;
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("marjoramplank::ledger_wire");
 
 struct Resources {
-  cpuMilli @0 :Int64;
-  memoryMb @1 :Int64;
-  accelerators @2 :Int64;
+  cpuMilli @0 : Int64;
+  memoryMb @1 : Int64;
+  accelerators @2 : Int64;
 }
 
 struct Step {
-  tasks @0 :Int32;
-  need @1 :Resources;
-  estimateMs @2 :Int64;
-  after @3 :List(Int32);
-  gang @4 :Bool;
-  sameRack @5 :Bool;
-  checkpoints @6 :Bool;
-  speculative @7 :Bool;
-  lasting @8 :Bool;
-  usesIdleCpu @9 :Bool;
-  requiredLabel @10 :Text;
-  dataRack @11 :Text;
-  maxPerWorker @12 :Int32;
-  maxUnavailable @13 :Int32;
-  image @14 :Text;
-  latencyTargetMs @15 :Int64;
+  tasks @0 : Int32;
+  need @1 : Resources;
+  estimateMs @2 : Int64;
+  after @3 : List(Int32);
+  gang @4 : Bool;
+  sameRack @5 : Bool;
+  checkpoints @6 : Bool;
+  speculative @7 : Bool;
+  lasting @8 : Bool;
+  usesIdleCpu @9 : Bool;
+  requiredLabel @10 : Text;
+  dataRack @11 : Text;
+  maxPerWorker @12 : Int32;
+  maxUnavailable @13 : Int32;
+  image @14 : Text;
+  latencyTargetMs @15 : Int64;
 }
 
 struct Job {
-  id @0 :Text;
-  account @1 :Text;
-  payload @2 :Text;
-  steps @3 :List(Step);
-  times @4 :Int32;
-  firstDueUnixMs @5 :Int64;
-  intervalMs @6 :Int64;
-  queue @7 :Text;
-  service @8 :Text;
-  priority @9 :Int32;
-  maxAttempts @10 :Int32;
-  stretch @11 :Float64;
-  targetMs @12 :Int64;
+  id @0 : Text;
+  account @1 : Text;
+  payload @2 : Text;
+  steps @3 : List(Step);
+  times @4 : Int32;
+  firstDueUnixMs @5 : Int64;
+  intervalMs @6 : Int64;
+  queue @7 : Text;
+  service @8 : Text;
+  priority @9 : Int32;
+  maxAttempts @10 : Int32;
+  stretch @11 : Float64;
+  targetMs @12 : Int64;
 }
 
 struct Life {
-  id @0 :Text;
-  bornMs @1 :Int64;
+  id @0 : Text;
+  bornMs @1 : Int64;
 }
 
 struct Task {
-  job @0 :Text;
-  occurrence @1 :Int32;
-  step @2 :Int32;
-  index @3 :Int32;
+  job @0 : Text;
+  occurrence @1 : Int32;
+  step @2 : Int32;
+  index @3 : Int32;
 }
 
 struct Member {
-  index @0 :Int32;
-  life @1 :Life;
+  index @0 : Int32;
+  life @1 : Life;
 }
 
 struct Worker {
-  agent @0 :Text;
-  life @1 :Life;
-  service @2 :Text;
-  dataCentre @3 :Text;
-  rack @4 :Text;
-  labels @5 :List(Text);
-  capacity @6 :Resources;
-  accepting @7 :Bool;
-  leavesInMs @8 :Int64;
+  agent @0 : Text;
+  life @1 : Life;
+  service @2 : Text;
+  dataCentre @3 : Text;
+  rack @4 : Text;
+  labels @5 : List(Text);
+  capacity @6 : Resources;
+  accepting @7 : Bool;
+  leavesInMs @8 : Int64;
 }
 
 struct EntryRelay {
-  entry @0 :Text;
-  dataCentre @1 :Text;
-  relay @2 :Text;
+  entry @0 : Text;
+  dataCentre @1 : Text;
+  relay @2 : Text;
 }
 
 struct Record {
   union {
-    jobSubmitted @0 :Job;
-    jobCancelled @1 :Text;
-    agentBeat :group {
-      agent @2 :Text;
-      process @37 :Text;
+    jobSubmitted @0 : Job;
+    jobCancelled @1 : Text;
+    agentBeat : group {
+      agent @2 : Text;
+      process @37 : Text;
     }
-    workerReported @3 :Worker;
-    workerEmptied :group {
-      life @4 :Life;
-      epoch @5 :Int64;
-      gone @6 :Bool;
-      reason @7 :Text;
+    workerReported @3 : Worker;
+    workerEmptied : group {
+      life @4 : Life;
+      epoch @5 : Int64;
+      gone @6 : Bool;
+      reason @7 : Text;
     }
-    plannerElected :group {
-      entry @8 :Text;
-      epoch @9 :Int64;
+    plannerElected : group {
+      entry @8 : Text;
+      epoch @9 : Int64;
     }
-    plannerResigned :group {
-      entry @10 :Text;
-      epoch @11 :Int64;
+    plannerResigned : group {
+      entry @10 : Text;
+      epoch @11 : Int64;
     }
-    runStarted :group {
-      epoch @12 :Int64;
-      first @13 :Task;
-      run @14 :Int32;
-      members @15 :List(Member);
-      checkpoint @16 :Text;
+    runStarted : group {
+      epoch @12 : Int64;
+      first @13 : Task;
+      run @14 : Int32;
+      members @15 : List(Member);
+      checkpoint @16 : Text;
     }
-    runStopped :group {
-      epoch @17 :Int64;
-      first @18 :Task;
-      run @19 :Int32;
-      cause @20 :UInt8;
+    runStopped : group {
+      epoch @17 : Int64;
+      first @18 : Task;
+      run @19 : Int32;
+      cause @20 : UInt8;
     }
-    taskEnded :group {
-      life @21 :Life;
-      number @22 :Int64;
-      task @23 :Task;
-      run @24 :Int32;
-      how @25 :UInt8;
-      checkpoint @26 :Text;
+    taskEnded : group {
+      life @21 : Life;
+      number @22 : Int64;
+      task @23 : Task;
+      run @24 : Int32;
+      how @25 : UInt8;
+      checkpoint @26 : Text;
     }
-    startRefused :group {
-      life @27 :Life;
-      task @28 :Task;
-      run @29 :Int32;
-      reason @30 :Text;
+    startRefused : group {
+      life @27 : Life;
+      task @28 : Task;
+      run @29 : Int32;
+      reason @30 : Text;
     }
-    entryStarted @38 :EntryRelay;
-    runObserved :group {
-      life @31 :Life;
-      task @32 :Task;
-      run @33 :Int32;
-      percent @34 :Int32;
-      stalled @35 :Bool;
-      checkpoint @36 :Text;
+    entryStarted @38 : EntryRelay;
+    runObserved : group {
+      life @31 : Life;
+      task @32 : Task;
+      run @33 : Int32;
+      percent @34 : Int32;
+      stalled @35 : Bool;
+      checkpoint @36 : Text;
     }
   }
 }
 
 struct Unit {
-  phase @0 :UInt8;
-  failedInRun @1 :Bool;
-  stopRequested @2 :Bool;
-  run @3 :Int32;
-  failures @4 :Int32;
-  unsettled @5 :Int32;
-  checkpoint @6 :Text;
-  members @7 :List(Member);
-  failedOn @8 :List(Life);
+  phase @0 : UInt8;
+  failedInRun @1 : Bool;
+  stopRequested @2 : Bool;
+  run @3 : Int32;
+  failures @4 : Int32;
+  unsettled @5 : Int32;
+  checkpoint @6 : Text;
+  members @7 : List(Member);
+  failedOn @8 : List(Life);
 }
 
 struct JobState {
-  job @0 :Job;
-  phase @1 :UInt8;
-  order @2 :Int64;
-  occurrences @3 :List(List(List(Unit)));
+  job @0 : Job;
+  phase @1 : UInt8;
+  order @2 : Int64;
+  occurrences @3 : List(List(List(Unit)));
 }
 
 struct LiveRun {
-  task @0 :Task;
-  run @1 :Int32;
-  need @2 :Resources;
-  stop @3 :Bool;
-  gang @4 :Bool;
-  payload @5 :Text;
-  checkpoint @6 :Text;
-  percent @7 :Int32;
-  stalled @8 :Bool;
+  task @0 : Task;
+  run @1 : Int32;
+  need @2 : Resources;
+  stop @3 : Bool;
+  gang @4 : Bool;
+  payload @5 : Text;
+  checkpoint @6 : Text;
+  percent @7 : Int32;
+  stalled @8 : Bool;
 }
 
 struct WorkerState {
-  report @0 :Worker;
-  gone @1 :Bool;
-  lastEnd @2 :Int64;
-  runs @3 :List(LiveRun);
-  failedInRow @4 :Int32;
-  refusedInRow @5 :Int32;
+  report @0 : Worker;
+  gone @1 : Bool;
+  lastEnd @2 : Int64;
+  runs @3 : List(LiveRun);
+  failedInRow @4 : Int32;
+  refusedInRow @5 : Int32;
 }
 
 struct AgentState {
-  agent @0 :Text;
-  life @1 :Life;
-  process @2 :Text;
-  starts @3 :Int64;
+  agent @0 : Text;
+  life @1 : Life;
+  process @2 : Text;
+  starts @3 : Int64;
 }
 
 struct Snapshot {
-  position @0 :Int64;
-  jobs @1 :List(JobState);
-  withdrawn @2 :List(Text);
-  endedOrder @3 :List(Text);
-  workers @4 :List(WorkerState);
-  agents @5 :List(AgentState);
-  planner @6 :Text;
-  plannerEpoch @7 :Int64;
-  accepted @8 :Int64;
-  entries @9 :List(EntryRelay);
+  position @0 : Int64;
+  jobs @1 : List(JobState);
+  withdrawn @2 : List(Text);
+  endedOrder @3 : List(Text);
+  workers @4 : List(WorkerState);
+  agents @5 : List(AgentState);
+  planner @6 : Text;
+  plannerEpoch @7 : Int64;
+  accepted @8 : Int64;
+  entries @9 : List(EntryRelay);
 }
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -96,7 +96,11 @@
 bool Ledger::On(Time, const JobCancelled& r) {
   const auto it = jobs_.find(r.job);
   if (it == jobs_.end()) {
-    return withdrawn_.insert(r.job).second;
+    const bool added = withdrawn_.insert(r.job).second;
+    if (withdrawn_.size() > kWithdrawnKept) {
+      withdrawn_.erase(withdrawn_.begin());
+    }
+    return added;
   }
   if (it->second.ended()) {
     return false;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -162,6 +162,11 @@
 // jobs a day this covers 8 hours.
 inline constexpr std::size_t kEndedJobsKept = 20'000;
 
+// Ids that were cancelled before they were seen and are remembered. Beyond it
+// the lowest is forgotten, which only matters if its submission is still on
+// its way.
+inline constexpr std::size_t kWithdrawnKept = 10'000;
+
 // The task that names a unit: the task itself, or the gang's first.
 TaskRef UnitOf(const JobEntry& job, TaskRef task);
 
--- a/src/node/job_desk.cc
+++ b/src/node/job_desk.cc
@@ -182,6 +182,9 @@
   if (admitted.refusal.kind != DeskAnswer::Kind::kOk) {
     return admitted.refusal;
   }
+  if (admitted.job.empty()) {
+    return {.kind = DeskAnswer::Kind::kBadRequest, .reason = "no job is named"};
+  }
   const LedgerWriter::Outcome outcome = writer_.AppendAndWait(
       JobCancelled{.job = admitted.job}, AppendDeadline(call));
   LogEvent("cancel")
--- a/tests/unit/bad_input_test.cc
+++ b/tests/unit/bad_input_test.cc
@@ -9,7 +9,9 @@
 #include "src/codec/object_reader.h"
 #include "src/daemon/http_server.h"
 #include "src/jobs/job_request.h"
+#include "src/jobs/ledger.h"
 #include "src/jobs/ledger_codec.h"
+#include "src/jobs/ledger_snapshot.h"
 #include "src/node/node_settings.h"
 
 namespace marjoramplank {
@@ -64,6 +66,19 @@
     CHECK_FALSE(DecodeRecord("").has_value());
     CHECK_FALSE(DecodeRecord(std::string(40, '\xff')).has_value());
   }
+  SECTION("cancels of unknown jobs are remembered, and bounded") {
+    Ledger ledger;
+    for (std::size_t n = 0; n < 2 * kWithdrawnKept; ++n) {
+      ledger.Apply(1s, JobCancelled{.job = std::to_string(10'000'000 + n)});
+    }
+    const std::size_t bytes = LedgerSnapshot::Save(ledger, 0).size();
+    constexpr std::size_t kBytesOfId = 32;
+    CHECK(bytes < kWithdrawnKept * kBytesOfId);
+    const std::string last =
+        std::to_string(10'000'000 + 2 * kWithdrawnKept - 1);
+    ledger.Apply(1s, JobSubmitted{.request = {.id = last, .steps = {{}}}});
+    CHECK(ledger.FindJob(last)->phase == JobPhase::kCancelled);
+  }
   SECTION("settings: missing and unknown keys are listed") {
     std::vector<FieldError> errors;
     ParseNodeSettings(R"({"name":"n","colour":1})", errors);
