Planner stops no task whose room does not help, and those that save first

Victims were taken cheapest first until the room sufficed, also those without which it sufficed too; and a task that saves its progress was priced with 2 s of lost work, though the platform lets it save at the stop. Change: needless victims are pruned, dearest first; a saving task costs 0.5 s. Tests: preemption_test, both sections failed on the code before.

--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -9,8 +9,10 @@
 
 // An accelerator counts as this many cores in the price of lost work.
 constexpr double kCoresOfAccelerator = 8;
-// Work since the last checkpoint of a task that saves its progress, at most.
-constexpr double kUnsavedSeconds = 2;
+// What stopping a task that saves its progress costs: it saves once more at the
+// stop, so only the way back in is lost. Twice the longest restore time seen on
+// the platform, as the way through the ledger comes on top.
+constexpr double kResumeSeconds = 0.5;
 
 struct Victim {
   TaskRef task;
@@ -57,6 +59,22 @@
   double cost = 0;
 };
 
+// Leaves out, dearest first, every victim without which the members still fit.
+// `free` is the room once all of them are gone.
+void Prune(const WaitingUnit& unit,
+           const WorkerRoom& room,
+           Resources free,
+           std::int32_t fits,
+           std::vector<Victim>& victims) {
+  for (std::size_t n = victims.size(); n > 0; --n) {
+    const Resources without = free - victims[n - 1].need;
+    if (std::min(unit.tasks, MembersThatFit(unit, room, without)) >= fits) {
+      free = without;
+      victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(n - 1));
+    }
+  }
+}
+
 // Frees room on one worker for up to `wanted` members with few victims.
 Freed FreeWorker(Time now,
                  const Ledger& ledger,
@@ -66,10 +84,11 @@
   Freed out{.life = room.worker->report.life};
   Resources free = room.free;
   out.fits = std::min(wanted, MembersThatFit(unit, room, free));
-  std::vector<Victim> victims =
-      Victims(now, ledger, *room.worker, unit.job->request.terms.priority);
   std::vector<Victim> pending;
-  for (const Victim& v : victims) {
+  std::vector<Victim> chosen;
+  Resources freed = free;
+  for (const Victim& v :
+       Victims(now, ledger, *room.worker, unit.job->request.terms.priority)) {
     if (out.fits >= wanted) {
       break;
     }
@@ -79,13 +98,16 @@
         std::min(wanted, MembersThatFit(unit, room, free));
     if (fits > out.fits) {
       out.fits = fits;
-      for (const Victim& p : pending) {
-        out.victims.push_back(p.task);
-        out.cost += p.cost;
-      }
+      freed = free;
+      chosen.insert(chosen.end(), pending.begin(), pending.end());
       pending.clear();
     }
   }
+  Prune(unit, room, freed, out.fits, chosen);
+  for (const Victim& v : chosen) {
+    out.victims.push_back(v.task);
+    out.cost += v.cost;
+  }
   return out;
 }
 
@@ -147,7 +169,7 @@
   const JobStep& step = job->request.steps[static_cast<std::size_t>(task.step)];
   double seconds = ToSeconds(now - run.since);
   if (step.checkpoints) {
-    seconds = std::min(seconds, kUnsavedSeconds);
+    seconds = std::min(seconds, kResumeSeconds);
   }
   const int members = step.gang ? step.tasks : 1;
   return seconds * Cores(step.need) * members;
