A failed way to the log is known to the whole process; silence is given up sooner

Ruled out: the relay (15 ms once it was tried); the planner (decided at once). Change: WayHealth is shared by a process's connections, apart for reads and appends; an append leaves a way alone where reads fail. A relay goes on with an append whose caller has gone. Tests: way_health_test and ledger_writer_test; the classes are new.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -17,6 +17,9 @@
 // The drive loop looks at least this often for what time alone decides.
 constexpr Duration kDriveTick = 100ms;
 constexpr Duration kHoldTick = 50ms;
+// Shortest wait for an entry's answer to an append: it may have to connect to
+// the entry, and the entry gathers appends of others.
+constexpr Duration kEntryPatience = 500ms;
 // Longest wait for open appends at the end.
 constexpr Duration kCloseLimit = 300ms;
 // Knowledge of the ledger that is older than this is not acted on: a poll and a
@@ -97,7 +100,10 @@
               OpenRelayed(open_store),
               OpenRelayed(open_store),
               metrics_),
-      writer_(options_.records, OpenRelayed(open_store), metrics_),
+      writer_({.partition = options_.records,
+               .patience = {.least = kEntryPatience}},
+              OpenRelayed(open_store),
+              metrics_),
       supervisor_(options_.supervisor) {
   ledger_.SetOnGap([this] { writer_.RepeatRecent(); });
   ledger_.Start();
@@ -126,7 +132,7 @@
           .relays =
               [this] { return RelaysOn(ledger_, options_.data_centre, ""); },
           .relays_first = true},
-      open_store());
+      open_store(), way_health_);
 }
 
 void AgentNode::Close() {
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -60,6 +60,7 @@
 
   const Options options_;
   Metrics metrics_;
+  WayHealth way_health_{{}};  // Of all connections; outlives them.
   LedgerFollower ledger_;
   LedgerWriter writer_;
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -17,6 +17,9 @@
 constexpr char kRunMark[] = "#";  // Between a machine's name and the run.
 // Longest wait for an append of decisions, and for reading them back.
 constexpr Duration kAppendLimit = 900ms;
+// Shortest wait for an answer where no other way is left: a repeat would only
+// add to the load of a slow log service.
+constexpr Duration kOnlyWayPatience = 900ms;
 constexpr Duration kReadBack = 900ms;
 // The planner looks at the state at least this often: timed runs and patience
 // end without a record.
@@ -50,8 +53,13 @@
       rules_({.partition = options_.rules},
              OpenRelayed(open_store),
              options_.decode_rules),
-      writer_(options_.records, OpenRelayed(open_store), metrics_),
-      relay_writer_(options_.records, open_store(), metrics_),
+      writer_({.partition = options_.records},
+              OpenRelayed(open_store),
+              metrics_),
+      relay_writer_({.partition = options_.records,
+                     .patience = {.least = kOnlyWayPatience}},
+                    open_store(),
+                    metrics_),
       relay_(options_.relay,
              {{.partition = options_.records, .ring = &ledger_.ring()},
               {.partition = options_.rules, .ring = &rules_.ring()}},
@@ -122,7 +130,7 @@
               [this] {
                 return RelaysOn(ledger_, options_.data_centre, options_.name);
               }},
-      open_store());
+      open_store(), way_health_);
 }
 
 bool EntryNode::MayPlan(Time now) const {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -12,6 +12,7 @@
 #include "src/node/rules_follower.h"
 #include "src/relay/relay_server.h"
 #include "src/relay/relayed_log_store.h"
+#include "src/relay/way_health.h"
 #include "src/store/ledger_follower.h"
 #include "src/store/ledger_writer.h"
 
@@ -82,6 +83,7 @@
   const Options options_;
   const std::string planner_id_;  // Of this run of the process.
   Metrics metrics_;
+  WayHealth way_health_{{}};  // Of all connections; outlives them.
   std::unique_ptr<LogStore> planner_store_;
   LedgerFollower ledger_;
   RulesFollower rules_;
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -20,6 +20,10 @@
 // Longest wait of a read, whatever was asked for.
 constexpr Duration kLongestWait = 2s;
 
+// An append goes on at least this long, also if its caller has tried another
+// way meanwhile: breaking it off would only send it to the log once more.
+constexpr Duration kLeastAppendLimit = 900ms;
+
 constexpr auto kNotStored =
     static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
 
@@ -141,7 +145,8 @@
     auto gathered = std::make_shared<GatheredOutcome>(records.size(),
                                                       kj::mv(pair.fulfiller));
     const Time deadline =
-        BootTime() + Duration(context.getParams().getLimitMs());
+        BootTime() + std::max(Duration(context.getParams().getLimitMs()),
+                              kLeastAppendLimit);
     for (LedgerRecord& record : records) {
       writer_.Append({.record = std::move(record),
                       .deadline = deadline,
--- a/src/relay/relayed_log_store.cc
+++ b/src/relay/relayed_log_store.cc
@@ -1,34 +1,25 @@
 #include "src/relay/relayed_log_store.h"
 
-#include <algorithm>
 #include <utility>
 
-#include "src/node/clock.h"
 #include "src/node/event_log.h"
 
 namespace marjoramplank {
 
 RelayedLogStore::RelayedLogStore(Options options,
-                                 std::unique_ptr<LogStore> direct)
-    : options_(std::move(options)), direct_(std::move(direct)) {}
+                                 std::unique_ptr<LogStore> direct,
+                                 WayHealth& health)
+    : options_(std::move(options)),
+      direct_(std::move(direct)),
+      health_(health) {}
 
 RelayedLogStore::~RelayedLogStore() = default;
 
-std::vector<std::string> RelayedLogStore::Ways() const {
+std::string RelayedLogStore::BestWay(WayHealth::Use use) const {
   std::vector<std::string> ways = options_.relays();
-  ways.insert(options_.relays_first ? ways.end() : ways.begin(), "");
-  const Time now = BootTime();
-  // Those that failed lately come last, the longest ago first.
-  std::stable_sort(ways.begin(), ways.end(), [&](const auto& a, const auto& b) {
-    return AvoidedUntil(a, now) < AvoidedUntil(b, now);
-  });
-  return ways;
-}
-
-Time RelayedLogStore::AvoidedUntil(const std::string& way, Time now) const {
-  const auto it = avoided_.find(way);
-  return it == avoided_.end() || it->second.until <= now ? Time{0}
-                                                         : it->second.until;
+  ways.insert(options_.relays_first ? ways.end() : ways.begin(), kDirectWay);
+  health_.Sort(ways, use);
+  return ways.front();
 }
 
 RelayClient& RelayedLogStore::Client(const std::string& address) {
@@ -39,21 +30,10 @@
   return *client;
 }
 
-void RelayedLogStore::Failed(const std::string& way,
-                             const std::string& reason) {
-  Avoidance& avoidance = avoided_[way];
-  avoidance.span =
-      std::clamp(avoidance.span * 2, options_.avoid, options_.avoid_max);
-  avoidance.until = BootTime() + avoidance.span;
-  LogEvent("way_to_log_failed")
-      .With("way", way.empty() ? "direct" : way)
-      .With("reason", reason);
-}
-
-void RelayedLogStore::Worked(const std::string& way) {
-  avoided_.erase(way);
+void RelayedLogStore::Worked(const std::string& way, WayHealth::Use use) {
+  health_.Worked(way, use);
   if (way != last_way_) {
-    LogEvent("way_to_log").With("way", way.empty() ? "direct" : way);
+    LogEvent("way_to_log").With("way", NameOfWay(way));
     last_way_ = way;
   }
 }
@@ -65,13 +45,14 @@
   if (!stamp.id.empty()) {
     return direct_->Append(to, records, stamp, limit);
   }
-  const std::string way = Ways().front();
-  AppendResult result = way.empty() ? direct_->Append(to, records, stamp, limit)
-                                    : Client(way).Append(records, limit);
+  const std::string way = BestWay(WayHealth::Use::kAppend);
+  AppendResult result = way == kDirectWay
+                            ? direct_->Append(to, records, stamp, limit)
+                            : Client(way).Append(records, limit);
   if (result.kind == AppendResult::Kind::kStored) {
-    Worked(way);
+    Worked(way, WayHealth::Use::kAppend);
   } else {
-    Failed(way, result.reason);
+    health_.Failed(way, WayHealth::Use::kAppend, result.reason);
   }
   return result;
 }
@@ -80,24 +61,24 @@
                                  std::int64_t offset,
                                  Duration wait,
                                  Duration limit) {
-  const std::string way = Ways().front();
-  if (way.empty()) {
+  const std::string way = BestWay(WayHealth::Use::kRead);
+  if (way == kDirectWay) {
     ReadResult result = direct_->Read(from, offset, wait, limit);
     if (result.kind == ReadResult::Kind::kFailed) {
-      Failed(way, result.reason);
+      health_.Failed(way, WayHealth::Use::kRead, result.reason);
     } else {
-      Worked(way);
+      Worked(way, WayHealth::Use::kRead);
     }
     return result;
   }
   ReadResult result = Client(way).Read(from, offset, wait, limit);
   if (result.kind != ReadResult::Kind::kOk) {
-    Failed(way, result.reason);
+    health_.Failed(way, WayHealth::Use::kRead, result.reason);
   } else if (result.age > wait + options_.relay_age_limit) {
     // What it has read is still true; only another way is better.
-    Failed(way, "the entry's knowledge is old");
+    health_.Failed(way, WayHealth::Use::kRead, "the entry's knowledge is old");
   } else {
-    Worked(way);
+    Worked(way, WayHealth::Use::kRead);
   }
   return result;
 }
--- a/src/relay/relayed_log_store.h
+++ b/src/relay/relayed_log_store.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/relay/relay_client.h"
+#include "src/relay/way_health.h"
 #include "src/store/log_store.h"
 
 namespace marjoramplank {
@@ -21,13 +22,12 @@
     bool relays_first = false;  // True: spares the log service.
     // A relay whose own knowledge is older than this counts as cut off.
     Duration relay_age_limit{900};
-    // A way that failed is not tried for this long, unless all failed;
-    // doubled with each failure in a row.
-    Duration avoid{400};
-    Duration avoid_max{3000};
   };
 
-  RelayedLogStore(Options options, std::unique_ptr<LogStore> direct);
+  // `health` is shared with the process's other connections and outlives them.
+  RelayedLogStore(Options options,
+                  std::unique_ptr<LogStore> direct,
+                  WayHealth& health);
   ~RelayedLogStore() override;
 
   AppendResult Append(const LogPartition& to,
@@ -41,21 +41,15 @@
   NewestResult Newest(const LogPartition& from, Duration limit) override;
 
  private:
-  Time AvoidedUntil(const std::string& way, Time now) const;
-  // Ways in the order to try: relay addresses, and "" for the direct one.
-  std::vector<std::string> Ways() const;
+  // The way to try: a relay address, or kDirectWay.
+  std::string BestWay(WayHealth::Use use) const;
   RelayClient& Client(const std::string& address);
-  void Failed(const std::string& way, const std::string& reason);
-  void Worked(const std::string& way);
+  void Worked(const std::string& way, WayHealth::Use use);
 
   const Options options_;
   const std::unique_ptr<LogStore> direct_;
+  WayHealth& health_;
   std::map<std::string, std::unique_ptr<RelayClient>> clients_;
-  struct Avoidance {
-    Time until{0};
-    Duration span{0};
-  };
-  std::map<std::string, Avoidance> avoided_;
   std::string last_way_ = "?";
 };
 
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -12,9 +12,6 @@
 
 namespace {
 
-// Longest wait for one append. A store that is 100 times slower than its
-// usual 4 ms still answers in time.
-constexpr Duration kAppendLimit = 900ms;
 // Pause after a refusal: doubles from the first to the last, with jitter.
 constexpr Duration kFirstPause = 20ms;
 constexpr Duration kLastPause = 240ms;
@@ -32,12 +29,13 @@
 
 }  // namespace
 
-LedgerWriter::LedgerWriter(LogPartition partition,
+LedgerWriter::LedgerWriter(Options options,
                            std::unique_ptr<LogStore> store,
                            Metrics& metrics)
-    : partition_(std::move(partition)),
+    : options_(std::move(options)),
       store_(std::move(store)),
-      metrics_(metrics) {
+      metrics_(metrics),
+      patience_(options_.patience) {
   thread_ = std::thread([this] { Loop(); });
 }
 
@@ -136,6 +134,28 @@
   }
 }
 
+AppendResult LedgerWriter::TryAppend(const std::vector<Pending>& batch,
+                                     Time sent) {
+  std::vector<std::string> records;
+  records.reserve(batch.size());
+  Time deadline = kNever;
+  for (const Pending& p : batch) {
+    records.push_back(p.bytes);
+    deadline = std::min(deadline, p.item.deadline);
+  }
+  const Duration limit =
+      deadline == kNever
+          ? patience_.limit()
+          : std::clamp(deadline - sent, Duration(1ms), patience_.limit());
+  AppendResult result = store_->Append(options_.partition, records, {}, limit);
+  if (result.kind == AppendResult::Kind::kUnknown) {
+    patience_.OnSilence();
+  } else if (result.kind == AppendResult::Kind::kStored) {
+    patience_.OnAnswer(BootTime() - sent);
+  }
+  return result;
+}
+
 void LedgerWriter::Loop() {
   Duration pause = kFirstPause;
   std::vector<Pending> batch;
@@ -149,19 +169,8 @@
       in_flight_ = false;
       continue;
     }
-    std::vector<std::string> records;
-    records.reserve(batch.size());
-    Time deadline = kNever;
-    for (const Pending& p : batch) {
-      records.push_back(p.bytes);
-      deadline = std::min(deadline, p.item.deadline);
-    }
     const Time sent = BootTime();
-    const Duration limit =
-        deadline == kNever
-            ? kAppendLimit
-            : std::clamp(deadline - sent, Duration(1ms), kAppendLimit);
-    const AppendResult result = store_->Append(partition_, records, {}, limit);
+    const AppendResult result = TryAppend(batch, sent);
     if (result.kind == AppendResult::Kind::kStored) {
       failing_ = false;
       metrics_.Add(Counter::kAppends);
@@ -180,7 +189,7 @@
                      ? Counter::kAppendsUnknown
                      : Counter::kAppendsFailed);
     LogEvent("append_failed")
-        .With("records", records.size())
+        .With("records", batch.size())
         .With("settled", result.kind == AppendResult::Kind::kRefused)
         .With("reason", result.reason)
         .With("took_ms", (BootTime() - sent).count());
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -13,6 +13,7 @@
 
 #include "src/jobs/ledger_record.h"
 #include "src/observability/metrics.h"
+#include "src/store/answer_patience.h"
 #include "src/store/log_store.h"
 
 namespace marjoramplank {
@@ -35,7 +36,12 @@
     std::function<void(Outcome, Time sent)> done;
   };
 
-  LedgerWriter(LogPartition partition,
+  struct Options {
+    LogPartition partition;
+    AnswerPatience::Options patience;
+  };
+
+  LedgerWriter(Options options,
                std::unique_ptr<LogStore> store,
                Metrics& metrics);
   ~LedgerWriter();
@@ -69,12 +75,13 @@
   };
 
   void Loop();
+  AppendResult TryAppend(const std::vector<Pending>& batch, Time sent);
   std::vector<Pending> TakeBatch();
   void GiveUpOverdue(std::vector<Pending>& batch, Time now);
   void Settle(std::vector<Pending>& batch, Outcome outcome, Time sent);
   void Remember(const std::vector<Pending>& batch, Time now);
 
-  const LogPartition partition_;
+  const Options options_;
   const std::unique_ptr<LogStore> store_;
   Metrics& metrics_;
   std::mutex mutex_;  // Guards the three below.
@@ -82,6 +89,7 @@
   std::deque<Pending> queue_;
   std::deque<Recent> recent_;
   bool in_flight_ = false;
+  AnswerPatience patience_;  // Of the writer's thread.
   std::function<void(std::int64_t)> on_stored_;
   std::atomic<bool> failing_{false};
   std::atomic<bool> stopping_{false};
