A planner that cannot append hands the seat over through another entry

Ruled out: a shorter silence for all (elections in a slow store); stamped appends through the relay (a second way for decisions that the fence must know).

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -1,10 +1,7 @@
 #include "src/node/entry_node.h"
 
-#include <algorithm>
-#include <random>
 #include <utility>
 
-#include "src/jobs/ledger_codec.h"
 #include "src/jobs/ledger_snapshot.h"
 #include "src/node/clock.h"
 #include "src/node/event_log.h"
@@ -14,12 +11,10 @@
 
 namespace {
 
-constexpr char kRunMark[] = "#";  // Between a machine's name and the run.
-// Longest wait for an append of decisions, and for reading them back.
-constexpr Duration kAppendLimit = 900ms;
 // Shortest wait for an answer where no other way is left: a repeat would only
 // add to the load of a slow log service.
 constexpr Duration kOnlyWayPatience = 900ms;
+// Longest wait for reading decisions back.
 constexpr Duration kReadBack = 900ms;
 // The planner looks at the state at least this often: timed runs and patience
 // end without a record.
@@ -31,19 +26,14 @@
 
 // Longest wait for the resignation and for open appends at the end.
 constexpr Duration kCloseLimit = 700ms;
-// Vacancy after which an entry that is leaving takes the planning over.
-constexpr Duration kLeavingPatience = 150ms;
-
-std::string NewPlannerId(const std::string& name) {
-  return name + kRunMark + std::to_string(std::random_device{}());
-}
+// A resignation in another way than the planner's is tried for this long: then
+// the others have found the seat vacant by themselves.
+constexpr Duration kHandOverLimit = 1300ms;
 
 }  // namespace
 
 EntryNode::EntryNode(Options options, const StoreFactory& open_store)
     : options_(std::move(options)),
-      planner_id_(NewPlannerId(options_.name)),
-      planner_store_(open_store()),
       ledger_({.records = options_.records,
                .snapshots = options_.snapshots,
                .adopts = true},
@@ -65,6 +55,12 @@
               {.partition = options_.rules, .ring = &rules_.ring()}},
              relay_writer_),
       desk_(options_.desk, rules_, ledger_, writer_, metrics_),
+      seat_({.name = options_.name, .records = options_.records},
+            open_store(),
+            [this](LedgerRecord record) {
+              writer_.Append({.record = std::move(record),
+                              .deadline = BootTime() + kHandOverLimit});
+            }),
       dispatcher_(options_.dispatch) {
   ledger_.SetOnRecord(
       [this](const Ledger& ledger, const LedgerRecord& record,
@@ -140,81 +136,26 @@
          rules->Age(now) < kFreshRules;
 }
 
-void EntryNode::RaiseFence() {
-  fence_.Raise();
-  const AppendResult result = planner_store_->Append(
-      options_.records, {}, fence_.stamp(), kAppendLimit);
-  LogEvent("planner_fence_raised")
-      .With("producer_epoch", fence_.stamp().epoch)
-      .With("stored", result.kind == AppendResult::Kind::kStored)
-      .With("reason", result.reason);
-}
-
-AppendResult::Kind EntryNode::AppendFenced(
-    const std::vector<LedgerRecord>& records,
-    std::int64_t epoch) {
-  std::vector<std::string> bytes;
-  bytes.reserve(records.size());
-  for (const LedgerRecord& r : records) {
-    bytes.push_back(EncodeRecord(r));
-  }
-  const AppendResult result = planner_store_->Append(
-      options_.records, bytes, fence_.stamp(), kAppendLimit);
-  if (result.kind == AppendResult::Kind::kStored) {
-    fence_.OnStored();
-    const std::int64_t end =
-        result.offset + static_cast<std::int64_t>(bytes.size());
-    ledger_.Expect(end);
-    ledger_.WaitFor(end, kReadBack);
-    return result.kind;
-  }
-  LogEvent("planner_append_failed")
-      .With("records", records.size())
-      .With("epoch", epoch)
-      .With("producer_epoch", fence_.stamp().epoch)
-      .With("reason", result.reason);
-  if (result.kind == AppendResult::Kind::kFenced) {
-    // Somebody stood for election, and may never have come onto the ledger:
-    // whoever finds that stands again, further above.
-    fence_.OnFenced();
-    deposed_in_ = epoch;
-  }
-  return result.kind;
+PlannerSight EntryNode::Sight() const {
+  return ledger_.Read([](const Ledger& ledger, const LedgerView& view) {
+    return PlannerSight{.planner = ledger.planner(),
+                        .epoch = ledger.planner_epoch(),
+                        .planner_seen = ledger.planner_seen(),
+                        .readable_since = view.readable_since};
+  });
 }
 
-void EntryNode::RunForPlanner(Time now) {
-  const auto [epoch, silent] =
-      ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-        const Time since = std::max(ledger.planner_seen(), view.readable_since);
-        // Nobody plans, or an earlier run of this very process did, or this one
-        // did and was fenced off.
-        const bool vacant =
-            ledger.planner_epoch() > 0 &&
-            (ledger.planner().empty() ||
-             ledger.planner().starts_with(options_.name + kRunMark));
-        // One that leaves itself lets the others go first.
-        const Duration patience = leaving_ ? kLeavingPatience : Duration(0);
-        return std::pair(ledger.planner_epoch(),
-                         vacant ? now - ledger.planner_seen() > patience
-                                : now - since > options_.planner_silence);
-      });
-  if (!silent) {
-    return;
+void EntryNode::ReadBack(std::optional<std::int64_t> end) {
+  if (end) {
+    ledger_.Expect(*end);
+    ledger_.WaitFor(*end, kReadBack);
   }
-  fence_.BeginElection(epoch + 1);
-  // Without an answer it is simply repeated: an election that comes late is
-  // as good, or void.
-  const bool stored =
-      AppendFenced({PlannerElected{.entry = planner_id_, .epoch = epoch + 1}},
-                   epoch) == AppendResult::Kind::kStored;
-  metrics_.Add(Counter::kOwnershipChanges);
-  LogEvent("planner_election").With("epoch", epoch + 1).With("stored", stored);
 }
 
 void EntryNode::LogEndOfJob(const Ledger& ledger,
                             const LedgerRecord& record,
                             std::int64_t offset) {
-  if (ledger.planner() != planner_id_) {
+  if (ledger.planner() != seat_.id()) {
     return;  // One line for all entries.
   }
   const auto* ended = std::get_if<TaskEnded>(&record);
@@ -279,15 +220,11 @@
   }
 }
 
-void EntryNode::Lead(Time now) {
+void EntryNode::Lead(Time now, std::int64_t epoch) {
   std::vector<LedgerRecord> records;
-  const std::int64_t epoch =
-      ledger_.Read([](const Ledger& ledger, const LedgerView&) {
-        return ledger.planner_epoch();
-      });
   if (now - last_beat_ >= options_.planner_beat) {
     last_beat_ = now;
-    records.emplace_back(PlannerElected{.entry = planner_id_, .epoch = epoch});
+    records.emplace_back(PlannerElected{.entry = seat_.id(), .epoch = epoch});
   }
   const auto rules = rules_.view();
   std::int64_t position = 0;
@@ -303,11 +240,7 @@
     records.insert(records.end(), plan.begin(), plan.end());
   });
   if (!records.empty()) {
-    const AppendResult::Kind kind = AppendFenced(records, epoch);
-    if (kind == AppendResult::Kind::kUnknown ||
-        kind == AppendResult::Kind::kOutOfSequence) {
-      RaiseFence();
-    }
+    ReadBack(seat_.Append(records, epoch));
   }
 }
 
@@ -326,7 +259,7 @@
     return;
   }
   const bool stored =
-      WriteSnapshot(*planner_store_, options_.snapshots, bytes, position);
+      WriteSnapshot(seat_.store(), options_.snapshots, bytes, position);
   snapshot_position_ = stored ? position : snapshot_position_;
   LogEvent("snapshot")
       .With("position", position)
@@ -342,23 +275,22 @@
     if (!MayPlan(now)) {
       continue;
     }
-    const auto [planner, epoch] =
-        ledger_.Read([](const Ledger& ledger, const LedgerView&) {
-          return std::pair(ledger.planner(), ledger.planner_epoch());
-        });
-    const bool leads = planner == planner_id_ && epoch != deposed_in_;
+    const PlannerSight sight = Sight();
+    const bool leads = seat_.Leads(sight);
     if (resigning_) {
       if (leads && !resigned_) {
-        AppendFenced({PlannerResigned{.entry = planner_id_, .epoch = epoch}},
-                     epoch);
-        LogEvent("planner_resigned").With("epoch", epoch);
+        ReadBack(seat_.Append(
+            {PlannerResigned{.entry = seat_.id(), .epoch = sight.epoch}},
+            sight.epoch));
+        LogEvent("planner_resigned").With("epoch", sight.epoch);
       }
       resigned_ = true;
     } else if (leads) {
-      Lead(now);
+      Lead(now, sight.epoch);
       SaveSnapshot(now);
-    } else {
-      RunForPlanner(now);
+    } else if (seat_.MayStand(sight, now, leaving_)) {
+      metrics_.Add(Counter::kOwnershipChanges);
+      ReadBack(seat_.Stand(sight.epoch + 1));
     }
   }
 }
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -3,12 +3,13 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include "src/dispatch/dispatcher.h"
 #include "src/node/job_desk.h"
-#include "src/node/planner_fence.h"
+#include "src/node/planner_seat.h"
 #include "src/node/rules_follower.h"
 #include "src/relay/relay_server.h"
 #include "src/relay/relayed_log_store.h"
@@ -41,10 +42,7 @@
     RulesFollower::Decoder decode_rules;
     JobDesk::Options desk;
     Dispatcher::Options dispatch;
-    // The planner's heartbeat on the ledger, and the silence after which
-    // another entry takes over: three beats and a slow answer of the store.
-    Duration planner_beat{400};
-    Duration planner_silence{1300};
+    Duration planner_beat{400};        // The planner's heartbeat on the ledger.
     Duration snapshot_interval{5000};  // A quarter of the shortest history.
   };
 
@@ -65,14 +63,10 @@
   std::unique_ptr<LogStore> OpenRelayed(const StoreFactory& open_store);
   void PlannerLoop();
   bool MayPlan(Time now) const;
-  void RunForPlanner(Time now);
-  void Lead(Time now);
+  PlannerSight Sight() const;
+  void Lead(Time now, std::int64_t epoch);
   void SaveSnapshot(Time now);
-  // Appends as the planner, or to become it, and reads it back.
-  AppendResult::Kind AppendFenced(const std::vector<LedgerRecord>& records,
-                                  std::int64_t epoch);
-  // After an append without an answer: makes sure that it never comes.
-  void RaiseFence();
+  void ReadBack(std::optional<std::int64_t> end);  // Of what was appended.
   void LogEndOfJob(const Ledger& ledger,
                    const LedgerRecord& record,
                    std::int64_t offset);
@@ -81,20 +75,17 @@
                     std::int64_t position);
 
   const Options options_;
-  const std::string planner_id_;  // Of this run of the process.
   Metrics metrics_;
   WayHealth way_health_{{}};  // Of all connections; outlives them.
-  std::unique_ptr<LogStore> planner_store_;
   LedgerFollower ledger_;
   RulesFollower rules_;
   LedgerWriter writer_;
   LedgerWriter relay_writer_;
   RelayServer relay_;
   JobDesk desk_;
+  PlannerSeat seat_;
   Dispatcher dispatcher_;
-  PlannerFence fence_;
-  std::int64_t deposed_in_ = -1;  // Epoch in which our appends were fenced off.
-  std::int64_t ended_jobs_ = 0;   // Seen so far; on the follower's thread.
+  std::int64_t ended_jobs_ = 0;  // Seen so far; on the follower's thread.
   Time last_beat_{0};
   Time last_snapshot_{0};
   std::int64_t snapshot_position_ = 0;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -9,7 +9,7 @@
 namespace marjoramplank {
 
 // Bounds that the platform states; the node's own time limits are derived from
-// them in node_options.h.
+// them where a node is built (platform/site_main.cc).
 struct PlatformBounds {
   Duration revoke{5000};        // A key taken away is refused within this.
   Duration max_lease{10000};    // Longest lease that a worker gives.
