Jobs that can still be in time go first, hopeless ones last

The objective of a later step counted only that step's estimate. Ruled out: priorities (urgent before all, unchanged); guarantees (first). Change: objective.h: chain over all steps, and whether a job can be in time, late or neither by its estimates; that goes before the objective in the order.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "src/dispatch/objective.h"
 #include "src/dispatch/preemption.h"
 
 namespace marjoramplank {
@@ -21,11 +22,6 @@
 
 }  // namespace
 
-Duration Dispatcher::EstimateOf(const JobStep& step) const {
-  return step.estimate > Duration(0) ? step.estimate
-                                     : options_.unknown_estimate;
-}
-
 bool Dispatcher::IsDistrusted(const Input& in,
                               const WorkerEntry& worker) const {
   const Duration quiet = in.now - worker.last_trouble;
@@ -91,6 +87,11 @@
                           const JobEntry& job,
                           std::vector<WaitingUnit>& out) const {
   const JobRequest& r = job.request;
+  const Duration chain = ChainOf(r, options_.unknown_estimate);
+  const Duration allowed =
+      Duration(static_cast<std::int64_t>(static_cast<double>(chain.count()) *
+                                         r.terms.stretch)) +
+      r.terms.target;
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     Time due = job.seen;
     if (r.recurrence.times > 0) {
@@ -110,7 +111,9 @@
         continue;
       }
       const JobStep& step = r.steps[s];
-      const Duration estimate = EstimateOf(step);
+      const Chance chance =
+          ChanceOf(in.now, due, due + allowed,
+                   ChainFrom(r, s, options_.unknown_estimate));
       Resources need = step.need;
       if (step.uses_idle_cpu) {
         need.cpu_milli = 0;
@@ -119,8 +122,6 @@
         if (state.units[u].phase != RunUnit::Phase::kWaiting) {
           continue;
         }
-        const auto chain = static_cast<std::int64_t>(
-            static_cast<double>(estimate.count()) * r.terms.stretch);
         out.push_back({.job = &job,
                        .step = &step,
                        .unit = &state.units[u],
@@ -131,7 +132,8 @@
                        .tasks = step.gang ? step.tasks : 1,
                        .need = need,
                        .due = due,
-                       .objective = due + Duration(chain) + r.terms.target});
+                       .objective = due + allowed,
+                       .chance = chance});
       }
     }
   }
@@ -147,8 +149,8 @@
     unit.guaranteed = guaranteed.contains(unit.first.job);
   }
   const auto rank = [](const WaitingUnit& u) {
-    return std::tuple(!u.guaranteed, u.job->request.terms.priority, u.objective,
-                      u.job->order, u.first);
+    return std::tuple(!u.guaranteed, u.job->request.terms.priority, u.chance,
+                      u.objective, u.job->order, u.first);
   };
   std::sort(out.begin(), out.end(),
             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
@@ -194,7 +196,8 @@
                                         const RoomTable& rooms,
                                         const WaitingUnit& unit) const {
   const Duration waited = in.now - unit.due;
-  const auto estimate = static_cast<double>(EstimateOf(*unit.step).count());
+  const auto estimate = static_cast<double>(
+      EstimateOf(*unit.step, options_.unknown_estimate).count());
   const bool tight = unit.step->gang && unit.step->same_rack;
   const bool bound =
       (tight && FitsSomeRack(rooms, unit)) ||
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -53,7 +53,6 @@
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
  private:
-  Duration EstimateOf(const JobStep& step) const;
   RoomTable Rooms(const Input& in) const;
   bool IsDistrusted(const Input& in, const WorkerEntry& worker) const;
   std::vector<WaitingUnit> Waiting(const Input& in) const;
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/dispatch/objective.h"
 #include "src/jobs/ledger.h"
 
 namespace marjoramplank {
@@ -10,10 +11,11 @@
   const JobStep* step = nullptr;
   const RunUnit* unit = nullptr;
   TaskRef first;
-  std::int32_t tasks = 1;   // Members.
-  Resources need;           // Of each, as counted against a worker.
-  Time due{0};              // Since when it could have run.
-  Time objective{0};        // It should be done by then.
+  std::int32_t tasks = 1;  // Members.
+  Resources need;          // Of each, as counted against a worker.
+  Time due{0};             // Since when it could have run.
+  Time objective{0};       // It should be done by then.
+  Chance chance = Chance::kInTime;
   bool guaranteed = false;  // Within its account's guarantee.
 };
 
