--- a/src/entry/config_requests.cc
+++ b/src/entry/config_requests.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/codec/job_codec.h"
+#include "src/entry/queries.h"
 #include "src/entry/regions.h"
 #include "src/entry/replies.h"
 
--- a/src/planner/cheap_block.cc
+++ b/src/planner/cheap_block.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "src/planner/occupancy.h"
+#include "src/planner/victims.h"
 
 namespace marjoramplank {
 
--- a/src/planner/offer.h
+++ b/src/planner/offer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/planner/occupancy.h"
+#include "src/planner/victims.h"
 
 namespace marjoramplank {
 
--- a/src/planner/stopping_start.cc
+++ b/src/planner/stopping_start.cc
@@ -12,6 +12,7 @@
 #include "src/planner/cheap_block.h"
 #include "src/planner/occupancy.h"
 #include "src/planner/offer.h"
+#include "src/planner/victims.h"
 
 namespace marjoramplank {
 
