--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -145,8 +145,8 @@
     auto gathered = std::make_shared<GatheredOutcome>(records.size(),
                                                       kj::mv(pair.fulfiller));
     const Time deadline =
-        BootTime() + std::max(Duration(context.getParams().getLimitMs()),
-                              kLeastAppendLimit);
+        BootTime() +
+        std::max(Duration(context.getParams().getLimitMs()), kLeastAppendLimit);
     for (LedgerRecord& record : records) {
       writer_.Append({.record = std::move(record),
                       .deadline = deadline,
--- a/src/store/answer_patience.h
+++ b/src/store/answer_patience.h
@@ -10,9 +10,10 @@
 class AnswerPatience {
  public:
   struct Options {
-    Duration least{350};  // Longer than answers of a log service 60 times too slow.
-    Duration most{900};   // One that is 200 times slower than usual.
-    int multiple = 4;     // Of the slowest answer lately.
+    Duration least{
+        350};  // Longer than answers of a log service 60 times too slow.
+    Duration most{900};  // One that is 200 times slower than usual.
+    int multiple = 4;    // Of the slowest answer lately.
   };
 
   explicit AnswerPatience(Options options);
