Keep the liveness of a worker apart from that of the agent beside it

"The agent lives" was taken for "its worker lives". An agent that restarted beside a worker that had gone sent its heartbeats as ever, so the planner gave the dead worker new jobs, and nobody started or refused them. Ruled out: the planner's check of lost workers, which is right for agents; the election after the restart.

AgentHeartbeat names the incarnation that this process of the agent has heard, and how long ago; the dispatcher gives work only to workers that are heard. WorkerContact holds reachability and lease bounds; a lease that did not leave the machine grants nothing, and renewals end after 1.5 s of silence. After a restart the agent takes the worker of the ledger and lists its tasks at once. Idle workers are listed too, so a closed connection shows a crash at once, and a pending start on an unreachable worker is refused instead of waiting. What history says about liveness is forgotten once a process has replayed it. A start that was delayed in the agent for over 0.5 s is decided again.

One supervisor_test section set up its worker through the ledger; it now sets it up by the heartbeat alone, which is what its name says.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -42,7 +42,8 @@
   for (const auto& [name, agent] : in.ledger.agents()) {
     const LedgerWorker* entry = in.ledger.FindWorker(agent.incarnation);
     if (entry == nullptr || entry->incarnation_ended ||
-        !entry->report.accepting ||
+        !entry->report.accepting || agent.heard_worker != agent.incarnation ||
+        in.now - agent.worker_heard_at > options_.worker_silence_limit ||
         in.now - agent.last_heartbeat_at > options_.leases.SuspectAfter() ||
         in.rules.closed_data_centres.contains(entry->report.data_centre)) {
       continue;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,6 +20,10 @@
  public:
   struct Options {
     LeaseTiming leases;
+    // A worker that its agent has not heard for this long gets no new work. An
+    // idle worker answers its agent each second, and the agent reports that
+    // with its next heartbeat.
+    Duration worker_silence_limit{3000};
     // A worker with this many failed runs in a row is quarantined ...
     std::int32_t quarantine_failures = 2;
     // ... for this long: a few run times of the shortest tasks.
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -119,9 +119,18 @@
     agent.process = r.process;
     ++agent.process_start_count;
   }
+  const bool is_stated = r.heard_ago >= Duration(0);
+  agent.heard_worker = is_stated ? r.heard_worker : agent.incarnation;
+  agent.worker_heard_at = is_stated ? now - r.heard_ago : now;
   return true;
 }
 
+void Ledger::ForgetLiveness() {
+  for (auto& [name, agent] : agents_) {
+    agent.heard_worker = {};
+  }
+}
+
 bool Ledger::ApplyRecord(Time, const EntryStarted& r) {
   EntryStarted& entry = entries_[r.entry];
   const bool changed = entry != r;
@@ -146,6 +155,10 @@
   LedgerWorker& worker = workers_[r.incarnation];
   worker.report = r;
   worker.incarnation_ended = false;
+  if (r.accepting) {
+    agent.heard_worker = r.incarnation;
+    agent.worker_heard_at = now;
+  }
   return true;
 }
 
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -89,6 +89,11 @@
   // Process starts seen so far; it scopes the fencing tokens.
   std::int64_t process_start_count = 0;
   Time last_heartbeat_at{0};  // When this process read the last heartbeat.
+  // The worker that the agent has heard, and when, by this process's clock.
+  // Not replicated, and not taken from history: see ForgetLiveness(). Empty id:
+  // not known to live.
+  WorkerIncarnation heard_worker;
+  Time worker_heard_at{0};
 };
 
 // Replicated state machine: every process applies the same records in the same
@@ -99,6 +104,10 @@
  public:
   // Returns false if the record had no effect.
   bool Apply(Time now, const LedgerRecord& record);
+  // Call when a process has replayed the history from before its start: what
+  // that history says about live workers is of unknown age. A worker gets work
+  // again once its agent reports it anew.
+  void ForgetLiveness();
 
   const LedgerJob* FindJob(const std::string& id) const;
   const LedgerWorker* FindWorker(const WorkerIncarnation& incarnation) const;
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -32,6 +32,8 @@
   auto w = out.initAgentBeat();
   w.setAgent(r.agent);
   w.setProcess(r.process);
+  ToWire(r.heard_worker, w.initHeard());
+  w.setHeardAgoMs(r.heard_ago.count());
 }
 void WriteRecord(const EntryStarted& r, WireRecord::Builder out) {
   ToWire(r, out.initEntryStarted());
@@ -107,7 +109,9 @@
     case WireRecord::AGENT_BEAT: {
       const auto w = in.getAgentBeat();
       return AgentHeartbeat{.agent = FromWire(w.getAgent()),
-                            .process = FromWire(w.getProcess())};
+                            .process = FromWire(w.getProcess()),
+                            .heard_worker = FromWire(w.getHeard()),
+                            .heard_ago = Duration(w.getHeardAgoMs())};
     }
     case WireRecord::ENTRY_STARTED:
       return FromWire(in.getEntryStarted());
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "marjoramplank/time.h"
 #include "src/jobs/job_request.h"
 
 namespace marjoramplank {
@@ -39,6 +40,12 @@
 struct AgentHeartbeat {
   std::string agent;
   std::string process;  // Id of the agent's process; new at each start.
+  // The worker that this process of the agent has heard. Empty id: none. The
+  // agent's own liveness says nothing about its worker.
+  WorkerIncarnation heard_worker;
+  // Age of the worker's last sign of life when the heartbeat was sent.
+  // Negative: not stated, by an agent of an earlier version.
+  Duration heard_ago{-1};
   friend bool operator==(const AgentHeartbeat&,
                          const AgentHeartbeat&) = default;
 };
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -74,6 +74,8 @@
       return "unhealthy";
     case CommandReply::Kind::kWrongIncarnation:
       return "wrong_life";
+    case CommandReply::Kind::kNotSent:
+      return "not_sent";
     case CommandReply::Kind::kNoAnswer:
       return "no_answer";
   }
@@ -164,16 +166,27 @@
 }
 
 void AgentNode::SendHeartbeat(Time now) {
-  if (now - last_heartbeat_at_ <
-          options_.supervisor.leases.heartbeat_interval ||
-      heartbeat_in_flight_) {
+  std::optional<Supervisor::HeardWorker> heard;
+  {
+    const std::lock_guard lock(mutex_);
+    heard = supervisor_.heard_worker(now);
+  }
+  const WorkerIncarnation incarnation =
+      heard ? heard->incarnation : WorkerIncarnation();
+  const bool is_due = now - last_heartbeat_at_ >=
+                          options_.supervisor.leases.heartbeat_interval ||
+                      incarnation != reported_incarnation_;
+  if (!is_due || heartbeat_in_flight_) {
     return;
   }
   last_heartbeat_at_ = now;
+  reported_incarnation_ = incarnation;
   heartbeat_in_flight_ = true;
   writer_.Append(
       {.record = AgentHeartbeat{.agent = options_.name,
-                                .process = options_.supervisor.process},
+                                .process = options_.supervisor.process,
+                                .heard_worker = incarnation,
+                                .heard_ago = heard ? heard->age : Duration(0)},
        .deadline = now + options_.supervisor.leases.max_heartbeat_age,
        .on_done = [this](LedgerWriter::Outcome outcome, Time sent_at) {
          if (outcome == LedgerWriter::Outcome::kStored) {
@@ -243,7 +256,12 @@
     CommandReply reply;
     const Time sent_at = BootClockNow();
     if (const auto* start = std::get_if<StartCall>(&command)) {
-      reply = endpoint->Start(*start, kCommandTimeout);
+      // A call that was delayed in this process, by a pause or by the calls
+      // before it, is decided again.
+      reply = sent_at < start->send_before
+                  ? endpoint->Start(*start, kCommandTimeout)
+                  : CommandReply{.kind = CommandReply::Kind::kStale,
+                                 .reason = "delayed in the agent"};
       LogCommand("start", *start, reply);
     } else {
       reply = endpoint->Stop(std::get<StopCall>(command), kCommandTimeout);
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -79,7 +79,9 @@
   std::deque<TaskCommand> command_queue_;
   bool wake_requested_ = false;
 
-  Time last_heartbeat_at_{0};  // Used by the reconcile thread only.
+  // Used by the reconcile thread only.
+  Time last_heartbeat_at_{0};
+  WorkerIncarnation reported_incarnation_;  // In the last heartbeat.
   std::atomic<bool> heartbeat_in_flight_{false};
   std::atomic<bool> stop_requested_{false};
   std::vector<std::thread> threads_;
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -164,6 +164,9 @@
     }
   }
   if (view_.position >= read.end_offset) {
+    if (view_.as_of == Time{0}) {
+      ledger_.ForgetLiveness();  // All records so far are history.
+    }
     view_.as_of = std::max(view_.as_of, sent_at - read.age);
   }
   ring_.Add(read,
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -10,6 +10,11 @@
 // Fencing tokens that one run of the agent's process may use. JSON numbers are
 // exact up to 2^53, which leaves 2^29 runs.
 constexpr std::int64_t kFencesPerProcess = 1 << 24;
+// A start is not sent later than this after it was decided: the agent may have
+// been paused in between, and the order taken back.
+constexpr Duration kMaxCommandDelay = 500ms;
+// Time between two listings while the worker does not answer.
+constexpr Duration kFailedHoldInterval = 100ms;
 // Time between two listings while listed ends are not in the ledger yet.
 constexpr Duration kUnrecordedEndsHoldInterval = 400ms;
 // Least time between two listings.
@@ -38,16 +43,49 @@
   const bool was_leaving = is_same_incarnation && worker_->leaving;
   worker_ = heartbeat;
   worker_->leaving = heartbeat.leaving || was_leaving;
+  is_adopted_ = false;
   if (!is_same_incarnation) {
-    ResetWorkerState(now);
+    ResetWorkerState(now, Time{0});
   }
+  contact_.OnHeartbeat(now);
   UpdateWorkerClock(now, heartbeat.clock_ms);
   // OnLedger() compares the new heartbeat with the ledger.
   is_report_recorded_ = false;
   return true;
 }
 
-void Supervisor::ResetWorkerState(Time now) {
+void Supervisor::AdoptRecordedWorker(Time now, const Ledger& ledger) {
+  const LedgerAgent* self = ledger.FindAgent(options_.agent);
+  const LedgerWorker* entry =
+      self == nullptr ? nullptr : ledger.FindWorker(self->incarnation);
+  if (fence_ == 0 || entry == nullptr || entry->incarnation_ended) {
+    return;
+  }
+  const WorkerReported& report = entry->report;
+  worker_ = WorkerHeartbeat{.incarnation = report.incarnation,
+                            .service = report.service,
+                            .data_centre = report.data_centre,
+                            .labels = report.labels,
+                            .rack = report.rack,
+                            .capacity = report.capacity};
+  is_adopted_ = true;
+  was_accepting_ = report.accepting;
+  adopted_at_ = now;
+  // The process before may have renewed leases until it ended.
+  ResetWorkerState(now, now + options_.leases.MaxLeaseDuration());
+}
+
+std::optional<Supervisor::HeardWorker> Supervisor::heard_worker(
+    Time now) const {
+  if (!worker_ || has_departed_ || contact_.heard_at() == Time{0}) {
+    return std::nullopt;
+  }
+  return HeardWorker{.incarnation = worker_->incarnation,
+                     .age = now - contact_.heard_at()};
+}
+
+void Supervisor::ResetWorkerState(Time now, Time leases_end_by) {
+  contact_.Reset(leases_end_by);
   runs_.clear();
   unrecorded_ends_.clear();
   last_queued_end_ = 0;
@@ -58,27 +96,28 @@
   needs_resolution_ = true;
   worker_clock_ms_ = 0;
   worker_clock_at_ = now;
-  last_reply_at_ = now;
-  failing_since_ = Time{0};
   report_sent_at_ = Time{0};
-  last_lease_end_ = Time{0};
 }
 
 void Supervisor::OnDeparture(Time, const std::string& worker_id) {
   if (!worker_ || worker_->incarnation.id != worker_id || has_departed_) {
     return;
   }
+  EndIncarnation("the worker has left");
+}
+
+void Supervisor::EndIncarnation(const std::string& reason) {
   has_departed_ = true;
   pending_records_.emplace_back(
       WorkerEmptied{.incarnation = worker_->incarnation,
                     .incarnation_ended = true,
-                    .reason = "the worker has left"});
+                    .reason = reason});
 }
 
 bool Supervisor::IsAcceptingWork(Time now) const {
   return worker_ && !has_departed_ && !worker_->leaving &&
-         (failing_since_ == Time{0} ||
-          now - failing_since_ < options_.unreachable_timeout);
+         (!is_adopted_ || was_accepting_) && contact_.heard_at() != Time{0} &&
+         contact_.IsReachable(now);
 }
 
 WorkerReported Supervisor::MakeWorkerReport(Time now) const {
@@ -134,6 +173,9 @@
   if (fence_ == 0 && self != nullptr && self->process == options_.process) {
     fence_ = self->process_start_count * kFencesPerProcess;
   }
+  if (!worker_ && current) {
+    AdoptRecordedWorker(now, ledger);
+  }
   if (!worker_ || has_departed_) {
     return;
   }
@@ -226,20 +268,24 @@
       RecordRefusal(task, run, "could not be started in time");
       continue;
     }
+    if (!contact_.IsReachable(now)) {
+      RecordRefusal(task, run, "the worker cannot be reached");
+      continue;
+    }
     if (!CanRenewLeases(now) || needs_resolution_) {
       continue;
     }
     run.phase = Phase::kStarting;
     run.start_sent = true;
-    last_lease_end_ =
-        std::max(last_lease_end_, now + options_.leases.MaxLeaseDuration());
+    contact_.OnStartSent(now + options_.leases.MaxLeaseDuration());
     out.emplace_back(StartCall{.incarnation = worker_->incarnation,
                                .fence = fence_,
                                .task = task,
                                .run = run.run,
                                .payload = run.payload,
                                .checkpoint = run.start_checkpoint,
-                               .lease_until = LeaseExpiryMs(now)});
+                               .lease_until = LeaseExpiryMs(now),
+                               .send_before = now + kMaxCommandDelay});
   }
   return out;
 }
@@ -252,7 +298,8 @@
     return std::nullopt;
   }
   const Duration since_last_hold = now - last_hold_at_;
-  if (since_last_hold < kMinHoldInterval) {
+  if (since_last_hold <
+      (contact_.IsFailing() ? kFailedHoldInterval : kMinHoldInterval)) {
     return std::nullopt;
   }
   const bool has_unrecorded_ends = last_queued_end_ > last_recorded_end_;
@@ -263,9 +310,6 @@
     has_started_runs = has_started_runs || run.phase != Phase::kPending;
     has_stopping_runs = has_stopping_runs || run.stop_accepted;
   }
-  if (!needs_resolution_ && !has_started_runs && !has_unacked_ends) {
-    return std::nullopt;
-  }
   if (has_unrecorded_ends && !needs_resolution_ && !has_unacked_ends &&
       since_last_hold < kUnrecordedEndsHoldInterval) {
     return std::nullopt;
@@ -277,13 +321,15 @@
     ++fence_;
   }
   call.fence = fence_;
-  if (has_started_runs && CanRenewLeases(now) && worker_clock_ms_ > 0) {
+  if (has_started_runs && CanRenewLeases(now) && worker_clock_ms_ > 0 &&
+      contact_.MayRenewLeases(now)) {
     call.lease_until = LeaseExpiryMs(now);
-    last_lease_end_ =
-        std::max(last_lease_end_, now + options_.leases.MaxLeaseDuration());
+    contact_.OnLeaseSent(now + options_.leases.MaxLeaseDuration());
   }
   constexpr Duration kStoppingHoldWait = 60ms;
-  if (has_started_runs && !needs_resolution_ && !has_unrecorded_ends) {
+  // Also waits while nothing runs: the connection ends when the worker's
+  // process dies, which shows at once that it is no place for new work.
+  if (!needs_resolution_ && !has_unrecorded_ends && !contact_.IsFailing()) {
     call.wait = has_stopping_runs ? kStoppingHoldWait : options_.max_hold_wait;
   }
   last_hold_at_ = now;
@@ -296,7 +342,9 @@
   // the one before.
   std::vector<LedgerRecord> out = std::move(pending_records_);
   pending_records_.clear();
-  if (worker_ && !has_departed_ && !is_report_recorded_ &&
+  const bool may_report = contact_.heard_at() != Time{0} ||
+                          now - adopted_at_ > WorkerContact::kUnreachableAfter;
+  if (worker_ && !has_departed_ && !is_report_recorded_ && may_report &&
       now - report_sent_at_ >= options_.report_retry_interval) {
     report_sent_at_ = now;
     out.emplace_back(MakeWorkerReport(now));
@@ -325,14 +373,12 @@
                                  .stalled = stalled,
                                  .checkpoint = run.newest_checkpoint});
   }
-  // The worker has not answered, and its last lease has expired.
-  if (failing_since_ != Time{0} && !runs_.empty() && now > last_lease_end_ &&
-      now - failing_since_ > options_.leases.lease_duration) {
+  if (!runs_.empty() && contact_.HaveLeasesExpired(now) &&
+      now - emptied_at_ > options_.report_retry_interval) {
+    emptied_at_ = now;
     out.emplace_back(
         WorkerEmptied{.incarnation = worker_->incarnation,
                       .reason = "no answer until every lease had run out"});
-    // Delays the next such record.
-    last_lease_end_ = now + options_.leases.lease_duration;
   }
   return out;
 }
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -9,6 +9,7 @@
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
 #include "src/supervisor/worker_calls.h"
+#include "src/supervisor/worker_contact.h"
 
 namespace marjoramplank {
 
@@ -38,8 +39,6 @@
     Duration max_hold_wait{1000};
     Duration stop_retry_interval{300};     // For a stop without a reply.
     Duration report_retry_interval{1000};  // For an unconfirmed worker report.
-    // A worker that has not answered for this long gets no new work.
-    Duration unreachable_timeout{1500};
   };
 
   explicit Supervisor(Options options);
@@ -67,8 +66,13 @@
   std::optional<HoldCall> NextHold(Time now);  // Empty: nothing to list now.
   std::vector<LedgerRecord> TakeRecords(Time now);
 
-  // The newest heartbeat. Empty: none yet.
-  const std::optional<WorkerHeartbeat>& worker() const { return worker_; }
+  // The worker that this process has heard, and the age of its last sign of
+  // life. Empty: nothing was heard in this process, or the worker has left.
+  struct HeardWorker {
+    WorkerIncarnation incarnation;
+    Duration age{0};
+  };
+  std::optional<HeardWorker> heard_worker(Time now) const;
   bool IsAcceptingWork(Time now) const;
   // Leases may be renewed while a recent heartbeat of this agent is in the log.
   bool CanRenewLeases(Time now) const {
@@ -106,10 +110,16 @@
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
 
-  void ResetWorkerState(Time now);
+  void ResetWorkerState(Time now, Time leases_end_by);
+  // After a restart: takes the worker that the ledger records until the worker
+  // itself is heard, so that its tasks are listed at once.
+  void AdoptRecordedWorker(Time now, const Ledger& ledger);
+  // Another incarnation answers at the worker's address: this one has ended.
+  void EndIncarnation(const std::string& reason);
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
                      const std::string& reason);
+  void CountReply(Time now, CommandReply::Kind kind);
   void UpdateRun(Time now, const RunningTask& listed, LocalRun& run);
   void ResolveInDoubtRuns(Time now, const HoldReply& reply);
   // Expiry of a lease that is renewed now, ms on the worker's clock.
@@ -121,6 +131,11 @@
   // 0: the ledger has no heartbeat of this process yet.
   std::int64_t fence_ = 0;
   std::optional<WorkerHeartbeat> worker_;
+  WorkerContact contact_;
+  // `worker_` is what the ledger records; no heartbeat was received yet.
+  bool is_adopted_ = false;
+  bool was_accepting_ = false;  // The adopted worker, by the ledger.
+  Time adopted_at_{0};
   bool has_departed_ = false;
   // A listing must resolve starts in doubt.
   bool needs_resolution_ = false;
@@ -146,13 +161,9 @@
   Time worker_clock_at_{0};
   // Send time of the newest heartbeat in the log.
   Time stored_heartbeat_sent_at_;
-  Time last_reply_at_{0};
-  // Time of the first of the calls in a row without a reply. 0: the last call
-  // had one.
-  Time failing_since_{0};
   Time last_hold_at_{0};
-  Time last_lease_end_{0};  // No lease of this process lasts longer.
   Time last_observation_at_{0};
+  Time emptied_at_{0};  // The last WorkerEmptied was returned then.
 };
 
 }  // namespace marjoramplank
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -13,6 +13,20 @@
 
 }  // namespace
 
+void Supervisor::CountReply(Time now, CommandReply::Kind kind) {
+  switch (kind) {
+    case CommandReply::Kind::kNotSent:
+      contact_.OnNotSent(now);
+      break;
+    case CommandReply::Kind::kNoAnswer:
+      contact_.OnNoAnswer(now);
+      break;
+    default:
+      contact_.OnAnswer(now);
+      break;
+  }
+}
+
 void Supervisor::OnStartReply(Time now,
                               const StartCall& call,
                               const CommandReply& reply) {
@@ -21,12 +35,15 @@
   }
   UpdateWorkerClock(now, reply.clock_ms);
   const auto it = runs_.find(call.task);
+  CountReply(now, reply.kind);
   if (reply.kind == CommandReply::Kind::kNoAnswer) {
     needs_resolution_ = true;
-    failing_since_ = failing_since_ == Time{0} ? now : failing_since_;
-  } else {
-    last_reply_at_ = now;
-    failing_since_ = Time{0};
+  }
+  if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
+    if (!has_departed_) {
+      EndIncarnation("another incarnation answers");
+    }
+    return;
   }
   if (it == runs_.end() || it->second.run != call.run ||
       it->second.phase != Phase::kStarting) {
@@ -53,6 +70,7 @@
       RecordRefusal(call.task, run, reply.reason);
       break;
     case CommandReply::Kind::kWrongIncarnation:
+    case CommandReply::Kind::kNotSent:
       run.phase = Phase::kPending;
       break;
     case CommandReply::Kind::kNoAnswer:
@@ -68,6 +86,13 @@
     return;
   }
   UpdateWorkerClock(now, reply.clock_ms);
+  CountReply(now, reply.kind);
+  if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
+    if (!has_departed_) {
+      EndIncarnation("another incarnation answers");
+    }
+    return;
+  }
   const auto it = runs_.find(call.task);
   if (it == runs_.end() || it->second.run != call.run) {
     return;
@@ -121,19 +146,36 @@
   if (!worker_ || worker_->incarnation != call.incarnation) {
     return;
   }
+  const bool is_other_incarnation =
+      reply.kind == HoldReply::Kind::kWrongIncarnation ||
+      (reply.started_at_unix_ms &&
+       *reply.started_at_unix_ms != worker_->incarnation.started_at_unix_ms);
+  if (is_other_incarnation) {
+    if (!has_departed_) {
+      EndIncarnation("another incarnation answers");
+    }
+    return;
+  }
   UpdateWorkerClock(now, reply.clock_ms);
+  if (reply.kind == HoldReply::Kind::kNotSent) {
+    contact_.OnLeaseNotSent();
+  } else {
+    contact_.OnLeaseMaybeGranted();
+  }
   if (reply.kind != HoldReply::Kind::kOk) {
     last_acked_end_ = std::min(last_acked_end_, call.acked_end - 1);
-    if (reply.kind == HoldReply::Kind::kNoAnswer) {
-      failing_since_ = failing_since_ == Time{0} ? now : failing_since_;
-    }
-    if (reply.kind == HoldReply::Kind::kStale) {
+    if (reply.kind == HoldReply::Kind::kNotSent) {
+      contact_.OnNotSent(now);
+    } else if (reply.kind == HoldReply::Kind::kStale) {
+      contact_.OnAnswer(now);
       needs_resolution_ = true;
+    } else {
+      // A refused listing has renewed nothing, so it counts as no answer.
+      contact_.OnNoAnswer(now);
     }
     return;
   }
-  last_reply_at_ = now;
-  failing_since_ = Time{0};
+  contact_.OnAnswer(now);
   std::set<TaskRef> running;
   for (const RunningTask& t : reply.running) {
     running.insert(t.task);
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -25,6 +25,10 @@
   // Expiry of the lease, ms on the worker's clock. Extends the leases of all
   // tasks on the worker.
   std::int64_t lease_until = 0;
+  // The agent's permission to start the task ends then, by this machine's
+  // clock. A process that was paused must not send the call afterwards. Not
+  // sent to the worker.
+  Time send_before = kNever;
 
   friend bool operator==(const StartCall&, const StartCall&) = default;
 };
@@ -72,6 +76,8 @@
     kUnhealthy,
     // Not carried out: another incarnation of the worker answered.
     kWrongIncarnation,
+    // Not carried out: the connection to the worker failed.
+    kNotSent,
     // In doubt: it may have been carried out, or may still be.
     kNoAnswer,
   };
@@ -88,9 +94,18 @@
 };
 
 struct HoldReply {
-  enum class Kind { kOk, kRefused, kStale, kWrongIncarnation, kNoAnswer };
+  enum class Kind {
+    kOk,
+    kRefused,
+    kStale,             // The worker has seen a higher fencing token.
+    kWrongIncarnation,  // Another incarnation of the worker answered.
+    kNotSent,           // The connection to the worker failed.
+    kNoAnswer,          // May have been carried out, or may still be.
+  };
   Kind kind = Kind::kNoAnswer;
   std::string reason;
+  // Start time of the incarnation that answered. Empty: not stated.
+  std::optional<std::int64_t> started_at_unix_ms;
   std::optional<std::int64_t> clock_ms;  // Worker's clock.
   std::vector<RunningTask> running;
   std::vector<TaskEnded> ended;  // The caller fills in `incarnation`.
--- /dev/null
+++ b/src/supervisor/worker_contact.cc
@@ -0,0 +1,54 @@
+#include "src/supervisor/worker_contact.h"
+
+#include <algorithm>
+
+namespace marjoramplank {
+
+void WorkerContact::Reset(Time leases_end_by) {
+  *this = {};
+  last_lease_end_ = leases_end_by;
+}
+
+void WorkerContact::OnAnswer(Time now) {
+  heard_at_ = now;
+  failing_since_ = Time{0};
+  refused_in_row_ = 0;
+}
+
+void WorkerContact::OnNoAnswer(Time now) {
+  failing_since_ = IsFailing() ? failing_since_ : now;
+  refused_in_row_ = 0;
+}
+
+void WorkerContact::OnNotSent(Time now) {
+  failing_since_ = IsFailing() ? failing_since_ : now;
+  ++refused_in_row_;
+}
+
+void WorkerContact::OnStartSent(Time lease_end) {
+  last_lease_end_ = std::max(last_lease_end_, lease_end);
+}
+
+void WorkerContact::OnLeaseSent(Time lease_end) {
+  lease_in_flight_ = lease_end;
+}
+
+void WorkerContact::OnLeaseMaybeGranted() {
+  last_lease_end_ = std::max(last_lease_end_, lease_in_flight_);
+  lease_in_flight_ = Time{0};
+}
+
+bool WorkerContact::IsReachable(Time now) const {
+  return !IsFailing() || (now - failing_since_ < kUnreachableAfter &&
+                          refused_in_row_ < kRefusedConnections);
+}
+
+bool WorkerContact::MayRenewLeases(Time now) const {
+  return !IsFailing() || now - failing_since_ < kRenewWhileSilent;
+}
+
+bool WorkerContact::HaveLeasesExpired(Time now) const {
+  return IsFailing() && now > std::max(last_lease_end_, lease_in_flight_);
+}
+
+}  // namespace marjoramplank
--- /dev/null
+++ b/src/supervisor/worker_contact.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "marjoramplank/time.h"
+
+namespace marjoramplank {
+
+// What an agent knows about the liveness of its worker, and how long the
+// worker's leases may last. Kept apart from the liveness of the agent itself:
+// an agent can live on beside a worker that has died.
+//
+// A silent worker is not a dead one. It gets no new work while it is
+// unreachable, but its running tasks count as ended only after every lease has
+// expired.
+class WorkerContact {
+ public:
+  // A worker that has not answered for this long is unreachable.
+  static constexpr Duration kUnreachableAfter{1500};
+  // So is one whose endpoint has refused this many connections in a row.
+  static constexpr int kRefusedConnections = 2;
+  // Leases of a worker that does not answer are renewed for this long. Later
+  // calls carry no lease, so that the last one expires.
+  static constexpr Duration kRenewWhileSilent{1500};
+
+  // Another incarnation of the worker. `leases_end_by`: an earlier process of
+  // the agent may have granted leases up to then.
+  void Reset(Time leases_end_by);
+  // The worker has sent a heartbeat.
+  void OnHeartbeat(Time now) { heard_at_ = now; }
+  void OnAnswer(Time now);
+  // The worker may have received the call, but has not answered.
+  void OnNoAnswer(Time now);
+  // The call has not left this machine: the connection was refused.
+  void OnNotSent(Time now);
+
+  // A start carries a lease that lasts until `lease_end` at the latest.
+  void OnStartSent(Time lease_end);
+  // A listing carries such a lease. At most one listing is under way.
+  void OnLeaseSent(Time lease_end);
+  // The call was not delivered, so it granted nothing.
+  void OnLeaseNotSent() { lease_in_flight_ = Time{0}; }
+  // The call was delivered, or may have been.
+  void OnLeaseMaybeGranted();
+
+  // When the worker last sent anything. 0: nothing yet in this process.
+  Time heard_at() const { return heard_at_; }
+  bool IsReachable(Time now) const;
+  bool IsFailing() const { return failing_since_ != Time{0}; }
+  bool MayRenewLeases(Time now) const;
+  // The worker does not answer, and no lease can last until now.
+  bool HaveLeasesExpired(Time now) const;
+
+ private:
+  Time heard_at_{0};
+  // Time of the first of the calls in a row without an answer. 0: the last call
+  // had one.
+  Time failing_since_{0};
+  int refused_in_row_ = 0;
+  Time last_lease_end_{0};   // No lease that was granted lasts longer.
+  Time lease_in_flight_{0};  // End of the lease of the call under way. 0: none.
+};
+
+}  // namespace marjoramplank
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -46,6 +46,20 @@
     RC_ASSERT(violations.empty());
   });
 
+  rc::prop("every job ends although workers die beside agents that live", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const bool loses_power = *rc::gen::arbitrary<bool>();
+    JobSimulation simulation(
+        {.seed = seed,
+         .simulated_time = 60s,
+         .agent_restarts_per_s = 0.2,
+         .worker_losses_per_s = loses_power ? 0 : 0.3,
+         .power_loss_at = loses_power ? Time(20s) : kNever});
+    const std::string violations = Join(simulation.Run());
+    RC_LOG() << "seed " << seed << "\n" << violations;
+    RC_ASSERT(violations.empty());
+  });
+
   rc::prop("guaranteed jobs start in time on fully used workers", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const int jobs = *rc::gen::inRange(12, 60);
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -67,6 +67,9 @@
 
 void JobSimulation::CrashWorker(Agent& agent) {
   FakeWorker& w = agent.worker;
+  if (w.is_lost) {
+    return;
+  }
   for (const auto& [task, run] : w.runs) {
     task_histories_[task].running_on.erase(w.incarnation.id);
     if (run.gang) {
@@ -79,6 +82,39 @@
   agent.next_worker_heartbeat_at = now_ + kDowntime;
 }
 
+void JobSimulation::LoseWorker(Agent& agent) {
+  if (agent.worker.is_lost ||
+      (lost_workers_ + 1) * 2 > static_cast<int>(agents_.size())) {
+    return;
+  }
+  ++lost_workers_;
+  CrashWorker(agent);
+  // The ledger knows the incarnation that has died.
+  --agent.worker.incarnation.started_at_unix_ms;
+  agent.worker.is_lost = true;
+}
+
+void JobSimulation::LosePower() {
+  for (std::size_t n = 0; n < agents_.size(); ++n) {
+    RestartAgent(*agents_[n]);
+    if (n % 4 == 0) {
+      LoseWorker(*agents_[n]);
+    } else if (!agents_[n]->worker.is_lost) {
+      CrashWorker(*agents_[n]);
+    }
+  }
+  ReplacePlanner();
+}
+
+void JobSimulation::ReplacePlanner() {
+  ++epoch_;
+  planner_ledger_ = Ledger();
+  planner_next_record_ = 0;
+  replaying_history_ = true;
+  Append(
+      PlannerElected{.entry = "e" + std::to_string(epoch_), .epoch = epoch_});
+}
+
 void JobSimulation::SubmitDueJobs() {
   const double share =
       static_cast<double>(now_.count()) /
@@ -123,15 +159,15 @@
 void JobSimulation::RunPlanner() {
   if (epoch_ == 0 ||
       RandomBool(options_.planner_changes_per_s * ToSeconds(kTick))) {
-    ++epoch_;
-    planner_ledger_ = Ledger();
-    planner_next_record_ = 0;
-    Append(
-        PlannerElected{.entry = "e" + std::to_string(epoch_), .epoch = epoch_});
+    ReplacePlanner();
   }
   for (; planner_next_record_ < log_.size(); ++planner_next_record_) {
     planner_ledger_.Apply(now_, log_[planner_next_record_]);
   }
+  if (replaying_history_) {
+    planner_ledger_.ForgetLiveness();
+    replaying_history_ = false;
+  }
   const std::vector<LedgerRecord> plan =
       dispatcher_.Plan({.now = now_,
                         .epoch = epoch_,
@@ -144,6 +180,9 @@
 
 CommandReply JobSimulation::HandleCommand(FakeWorker& w,
                                           const TaskCommand& call) {
+  if (w.is_lost) {
+    return {};
+  }
   const auto clock = now_.count();
   if (const auto* stop = std::get_if<StopCall>(&call)) {
     if (stop->fence < w.fence) {
@@ -218,6 +257,10 @@
 }
 
 HoldReply JobSimulation::HandleHold(FakeWorker& w, const HoldCall& call) {
+  if (w.is_lost) {
+    return {.kind = RandomBool(0.5) ? HoldReply::Kind::kNotSent
+                                    : HoldReply::Kind::kNoAnswer};
+  }
   if (call.incarnation != w.incarnation) {
     return {.kind = HoldReply::Kind::kWrongIncarnation};
   }
@@ -363,7 +406,7 @@
     return;
   }
   Supervisor& s = *agent.supervisor;
-  if (now_ >= agent.next_worker_heartbeat_at) {
+  if (now_ >= agent.next_worker_heartbeat_at && !agent.worker.is_lost) {
     agent.next_worker_heartbeat_at = now_ + kWorkerHeartbeatInterval;
     s.OnHeartbeat(now_, {.incarnation = agent.worker.incarnation,
                          .service = "s",
@@ -381,8 +424,12 @@
     }
     if (now_ >= agent.next_agent_heartbeat_at) {
       agent.next_agent_heartbeat_at = now_ + 800ms;
-      Append(AgentHeartbeat{.agent = agent.name,
-                            .process = std::to_string(agent.process)});
+      const auto heard = s.heard_worker(now_);
+      Append(AgentHeartbeat{
+          .agent = agent.name,
+          .process = std::to_string(agent.process),
+          .heard_worker = heard ? heard->incarnation : WorkerIncarnation(),
+          .heard_ago = heard ? heard->age : Duration(0)});
       s.OnAgentHeartbeatStored(now_);
     }
   }
@@ -411,6 +458,9 @@
     if (RandomBool(options_.worker_crashes_per_s * share)) {
       CrashWorker(*agent);
     }
+    if (RandomBool(options_.worker_losses_per_s * share)) {
+      LoseWorker(*agent);
+    }
     if (RandomBool(options_.log_outages_per_s * share)) {
       agent->log_outage_until = now_ + kLogOutage;
     }
@@ -430,6 +480,9 @@
 std::vector<std::string> JobSimulation::Run() {
   for (; now_ < options_.simulated_time; now_ += kTick) {
     SubmitDueJobs();
+    if (now_ == options_.power_loss_at) {
+      LosePower();
+    }
     if (now_ < options_.simulated_time * 3 / 4) {
       InjectFaults();
     }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -35,6 +35,12 @@
     double agent_restarts_per_s = 0;
     double worker_crashes_per_s = 0;
     double planner_changes_per_s = 0;
+    // Rate at which a worker's process dies for good; its agent lives on. Half
+    // of the workers always stay.
+    double worker_losses_per_s = 0;
+    // When every process loses power at once; a quarter of the workers never
+    // return. kNever: not.
+    Time power_loss_at = kNever;
     // Share of jobs that are cancelled.
     double cancelled_job_share = 0;
     // Share of runs that fail.
@@ -89,6 +95,9 @@
   bool HasStarted(const std::string& job, const JobRequest& request) const;
   void RestartAgent(Agent& agent);
   void CrashWorker(Agent& agent);
+  void LoseWorker(Agent& agent);
+  void LosePower();
+  void ReplacePlanner();
   void ReportViolation(const std::string& what);
 
   Options options_;
@@ -98,6 +107,8 @@
   Ledger planner_ledger_;
   std::size_t planner_next_record_ = 0;
   std::int64_t epoch_ = 0;
+  // The planner has restarted and has not replayed the log to its end yet.
+  bool replaying_history_ = false;
   Dispatcher dispatcher_;
   RulesView rules_;
   std::vector<std::unique_ptr<Agent>> agents_;
@@ -113,6 +124,7 @@
   std::map<std::string, Time> closed_since_;  // Closing time, by data centre.
   bool delivering_delayed_command_ = false;
   std::int32_t submitted_count_ = 0;
+  std::int32_t lost_workers_ = 0;
   std::vector<std::string> violations_;
 };
 
--- a/tests/support/job_simulation_parts.h
+++ b/tests/support/job_simulation_parts.h
@@ -23,6 +23,7 @@
 
 struct JobSimulation::FakeWorker {
   WorkerIncarnation incarnation;
+  bool is_lost = false;  // Its process is gone: no heartbeat, no answer.
   std::int64_t fence = 0;
   std::int64_t lease_until = 0;  // Worker's clock, ms; equals simulated time.
   std::map<TaskRef, FakeWorkerRun> runs;
--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+
 namespace marjoramplank {
 namespace {
 
@@ -227,5 +230,59 @@
   }
 }
 
+TEST_CASE("dispatcher: a worker is a place for work only while it is heard",
+          "[dispatcher][liveness]") {
+  Ledger ledger = Cluster();
+  const RulesView rules = RulesWithGuarantee();
+  ledger.Apply(kNow, JobSubmitted{.request = Job("j", 1,
+                                                 {.tasks = 6,
+                                                  .need = {.accelerators = 8},
+                                                  .estimate = 2s})});
+  const auto heartbeat = [&](int n, WorkerIncarnation heard, Duration ago) {
+    ledger.Apply(kNow, AgentHeartbeat{.agent = "a" + std::to_string(n),
+                                      .process = "p2",
+                                      .heard_worker = heard,
+                                      .heard_ago = ago});
+  };
+  const auto started = [&] {
+    std::set<std::string> workers;
+    for (const auto& r : RecordsOfType<RunStarted>(Plan(ledger, rules))) {
+      workers.insert(r.members[0].incarnation.id);
+    }
+    return workers;
+  };
+
+  SECTION("not one whose restarted agent has not heard it") {
+    heartbeat(0, {}, 0ms);
+    CHECK(started() == std::set<std::string>{"w1", "w2", "w3", "w4", "w5"});
+
+    SECTION("until the agent hears it") {
+      heartbeat(0, MakeIncarnation(0), 100ms);
+      CHECK(started().contains("w0"));
+    }
+  }
+  SECTION("not one whose agent hears another incarnation") {
+    heartbeat(0, {.id = "w0", .started_at_unix_ms = 2}, 0ms);
+    CHECK_FALSE(started().contains("w0"));
+  }
+  SECTION("not one that has been silent for long beside a live agent") {
+    heartbeat(0, MakeIncarnation(0), 5s);
+    CHECK_FALSE(started().contains("w0"));
+  }
+  SECTION("not one that only the history from before a restart speaks of") {
+    ledger.ForgetLiveness();
+    CHECK(started().empty());
+
+    SECTION("until a new heartbeat is read") {
+      heartbeat(3, MakeIncarnation(3), 100ms);
+      CHECK(started() == std::set<std::string>{"w3"});
+    }
+  }
+  SECTION("an agent of an earlier version does not say, and is believed") {
+    heartbeat(0, {}, -1ms);
+    CHECK(started().size() == 6);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
--- a/tests/unit/supervisor_test.cc
+++ b/tests/unit/supervisor_test.cc
@@ -83,7 +83,10 @@
       "after the first heartbeat nothing is listed until the ledger is read") {
     Supervisor supervisor({.agent = "agent", .process = "new"});
     ledger.Apply(now, AgentHeartbeat{.agent = "agent", .process = "new"});
-    supervisor.OnLedger(now, ledger, /*current=*/true);
+    Ledger without_worker;
+    without_worker.Apply(now,
+                         AgentHeartbeat{.agent = "agent", .process = "new"});
+    supervisor.OnLedger(now, without_worker, /*current=*/true);
     supervisor.OnHeartbeat(now, Heartbeat(1));
     CHECK_FALSE(supervisor.NextHold(now).has_value());
     supervisor.OnLedger(now, ledger, /*current=*/true);
