Give every HTTP call its own time limit; start orders given after a restart

The HTTP library applies timeouts to new connections only: a call on a kept connection had the limit of the call that opened it. A listing that waits 1 s failed after 0.5 s when the first listing had opened the connection, and a call after a long one waited too long for a silent peer. The limit also counted for each operation, so a slow response could take any time. Ruled out: the worker (it answers in time). An order that was read while a start or a restart was unresolved was taken for one that an earlier process may have sent, and refused: 80 refusals in 0.5 s after a power loss, each with a pause for the worker and a new plan.

HttpConnection limits each operation by the time that the call has left. A run records the process of the agent that it was ordered to; no earlier process can have sent it.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -176,6 +176,7 @@
   checkpoint @6 : Text;
   percent @7 : Int32;
   stalled @8 : Bool;
+  agentProcess @9 : Text;
 }
 
 struct WorkerState {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -246,6 +246,7 @@
     worker.runs[task] = {.run = r.run,
                          .need = need,
                          .gang = step.gang,
+                         .agent_process = agents_[worker.report.agent].process,
                          .payload = job.request.payload,
                          .checkpoint = r.checkpoint,
                          .first_seen_at = now};
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -60,6 +60,9 @@
   // Must be stopped: preempted, cancelled or job ended.
   bool must_stop = false;
   bool gang = false;
+  // Process of the worker's agent when the run was ordered. No earlier process
+  // can have sent the start.
+  std::string agent_process;
   std::string payload;
   std::string checkpoint;    // That the run starts from. Empty: none.
   std::int32_t percent = 0;  // Latest reported progress.
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -97,6 +97,7 @@
   ToWire(in.need, out.initNeed());
   out.setStop(in.must_stop);
   out.setGang(in.gang);
+  out.setAgentProcess(in.agent_process);
   out.setPayload(in.payload);
   out.setCheckpoint(in.checkpoint);
   out.setPercent(in.percent);
@@ -129,6 +130,7 @@
                 .need = FromWire(r.getNeed()),
                 .must_stop = r.getStop(),
                 .gang = r.getGang(),
+                .agent_process = FromWire(r.getAgentProcess()),
                 .payload = FromWire(r.getPayload()),
                 .checkpoint = FromWire(r.getCheckpoint()),
                 .percent = r.getPercent(),
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <istream>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,8 +28,8 @@
 };
 
 // A keep-alive HTTP connection to one address, which reconnects when needed.
-// Not thread-safe. Connecting, sending and each wait for data are bounded by
-// the call's limit, also if the peer stops responding.
+// Not thread-safe. A call ends within its limit and a tenth, also if the peer
+// stops responding or sends its response in small parts.
 class HttpConnection {
  public:
   explicit HttpConnection(const std::string& address);  // "IP:port".
@@ -47,9 +49,21 @@
   const std::string& address() const { return address_; }
 
  private:
-  Poco::Net::HTTPClientSession& PrepareSession(Duration limit);
+  using Clock = std::chrono::steady_clock;
+
+  Poco::Net::HTTPClientSession& PrepareSession();
+  // Bounds the next operation on the socket by the time left until `end`.
+  // Throws Poco::TimeoutException if there is none.
+  void LimitNextOperation(Clock::time_point end);
+  // `length`: of the whole body; negative: not stated.
+  std::string ReceiveBody(std::istream& in,
+                          std::int64_t length,
+                          Clock::time_point end);
 
   const std::string address_;
+  // The socket whose timeout was set last, and that timeout.
+  const void* limited_socket_ = nullptr;
+  Duration socket_timeout_{0};
   std::unique_ptr<Poco::Net::HTTPClientSession> session_;
 };
 
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -13,12 +13,8 @@
 // A start is not sent later than this after it was decided: the agent may have
 // been paused in between, and the order taken back.
 constexpr Duration kMaxCommandDelay = 500ms;
-// Time between two listings while the worker does not answer.
-constexpr Duration kFailedHoldInterval = 100ms;
 // Time between two listings while listed ends are not in the ledger yet.
 constexpr Duration kUnrecordedEndsHoldInterval = 400ms;
-// Least time between two listings.
-constexpr Duration kMinHoldInterval = 15ms;
 // Least time between two rounds of recorded observations.
 constexpr Duration kObservationInterval = 800ms;
 // Most starts and stops that are returned at once.
@@ -221,9 +217,11 @@
       run.is_long_running =
           job != nullptr && !job->ended() &&
           job->request.steps[static_cast<std::size_t>(task.step)].long_running;
-      // A start from before this process, or before this incarnation of the
-      // worker was known, may have been carried out.
-      run.phase = needs_resolution_ ? Phase::kInDoubt : Phase::kPending;
+      // A start that an earlier process may have sent may have been carried
+      // out, or may still be.
+      run.phase = needs_resolution_ && live.agent_process != options_.process
+                      ? Phase::kInDoubt
+                      : Phase::kPending;
     }
     run.stop_requested = live.must_stop;
   }
@@ -298,8 +296,7 @@
     return std::nullopt;
   }
   const Duration since_last_hold = now - last_hold_at_;
-  if (since_last_hold <
-      (contact_.IsFailing() ? kFailedHoldInterval : kMinHoldInterval)) {
+  if (since_last_hold < contact_.ListingInterval()) {
     return std::nullopt;
   }
   const bool has_unrecorded_ends = last_queued_end_ > last_recorded_end_;
--- a/src/supervisor/worker_contact.cc
+++ b/src/supervisor/worker_contact.cc
@@ -9,8 +9,14 @@
   last_lease_end_ = leases_end_by;
 }
 
+void WorkerContact::OnHeartbeat(Time now) {
+  heard_at_ = now;
+  failures_in_row_ = 0;
+}
+
 void WorkerContact::OnAnswer(Time now) {
   heard_at_ = now;
+  failures_in_row_ = 0;
   failing_since_ = Time{0};
   refused_in_row_ = 0;
 }
@@ -18,11 +24,13 @@
 void WorkerContact::OnNoAnswer(Time now) {
   failing_since_ = IsFailing() ? failing_since_ : now;
   refused_in_row_ = 0;
+  ++failures_in_row_;
 }
 
 void WorkerContact::OnNotSent(Time now) {
   failing_since_ = IsFailing() ? failing_since_ : now;
   ++refused_in_row_;
+  ++failures_in_row_;
 }
 
 void WorkerContact::OnStartSent(Time lease_end) {
@@ -47,6 +55,13 @@
   return !IsFailing() || now - failing_since_ < kRenewWhileSilent;
 }
 
+Duration WorkerContact::ListingInterval() const {
+  constexpr int kMaxDoublings = 8;
+  return std::min(
+      kMinListingInterval * (1 << std::min(failures_in_row_, kMaxDoublings)),
+      kMaxListingInterval);
+}
+
 bool WorkerContact::HaveLeasesExpired(Time now) const {
   return IsFailing() && now > std::max(last_lease_end_, lease_in_flight_);
 }
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -21,11 +21,16 @@
   // calls carry no lease, so that the last one expires.
   static constexpr Duration kRenewWhileSilent{1500};
 
+  // Listing intervals of a worker that answers, and the longest of one that
+  // does not.
+  static constexpr Duration kMinListingInterval{15};
+  static constexpr Duration kMaxListingInterval{2000};
+
   // Another incarnation of the worker. `leases_end_by`: an earlier process of
   // the agent may have granted leases up to then.
   void Reset(Time leases_end_by);
   // The worker has sent a heartbeat.
-  void OnHeartbeat(Time now) { heard_at_ = now; }
+  void OnHeartbeat(Time now);
   void OnAnswer(Time now);
   // The worker may have received the call, but has not answered.
   void OnNoAnswer(Time now);
@@ -46,6 +51,9 @@
   bool IsReachable(Time now) const;
   bool IsFailing() const { return failing_since_ != Time{0}; }
   bool MayRenewLeases(Time now) const;
+  // Time to wait between two listings: doubles while the worker does not
+  // answer, until it is heard again.
+  Duration ListingInterval() const;
   // The worker does not answer, and no lease can last until now.
   bool HaveLeasesExpired(Time now) const;
 
@@ -55,6 +63,7 @@
   // had one.
   Time failing_since_{0};
   int refused_in_row_ = 0;
+  int failures_in_row_ = 0;  // Since the last sign of life.
   Time last_lease_end_{0};   // No lease that was granted lasts longer.
   Time lease_in_flight_{0};  // End of the lease of the call under way. 0: none.
 };
--- a/tests/unit/supervisor_test.cc
+++ b/tests/unit/supervisor_test.cc
@@ -150,6 +150,39 @@
   }
 }
 
+TEST_CASE("supervisor: an order that is given to the restarted agent",
+          "[supervisor]") {
+  const Time now = 10s;
+  Supervisor s = SupervisorAfterHeartbeat(now);
+  // The planner ordered the run after it had read this process's heartbeat.
+  Ledger ledger;
+  ledger.Apply(now, AgentHeartbeat{.agent = "agent", .process = "new"});
+  ledger.Apply(now, WorkerReported{.agent = "agent",
+                                   .incarnation = kIncarnation,
+                                   .service = "s",
+                                   .data_centre = "dc",
+                                   .rack = "r1",
+                                   .labels = {"a", "r1"},
+                                   .capacity = Heartbeat(1).capacity});
+  ledger.Apply(now, PlannerElected{.entry = "e", .epoch = 1});
+  ledger.Apply(now, JobSubmitted{.request = OneTask()});
+  ledger.Apply(
+      now, RunStarted{.epoch = 1,
+                      .first = kTask,
+                      .run = 1,
+                      .members = {{.index = 0, .incarnation = kIncarnation}}});
+  s.OnLedger(now, ledger, /*current=*/true);
+  CHECK(s.TakeCommands(now).empty());  // Nothing has been listed yet.
+  const std::optional<HoldCall> hold = s.NextHold(now);
+  REQUIRE(hold.has_value());
+  s.OnHoldReply(now, *hold, {.kind = HoldReply::Kind::kOk, .clock_ms = 510});
+
+  SECTION("is carried out after the first listing") {
+    CHECK(RecordsOfType<StartRefused>(s.TakeRecords(now)).empty());
+    CHECK(s.TakeCommands(now).size() == 1);
+  }
+}
+
 TEST_CASE("supervisor: an order that is read after a delay", "[supervisor]") {
   const Time now = 10s;
   Supervisor s = SupervisorAfterHeartbeat(now);
