Spread elections in time; few appenders while the log service is slow

Ruled out: the dispatcher (nothing was planned) and clients (6 jobs/s).

CampaignSchedule: randomized election timeouts, spread by the number of entries, and a backoff after a campaign without success. A planner whose appends are not answered keeps its role while reads are answered; refused appends count as before. All agents of a data centre append through one relay, whose heartbeats linger for four append times, 0.6 s at most.

Tests: campaign_schedule_test, planner_leadership_test "does not step down at once while reads are answered", relay_order_test for appends. MayCampaign takes the number of entries; the sections that call it check what they checked.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -137,10 +137,10 @@
     const StoreFactory& open_store) {
   return std::make_unique<RelayedLogStore>(
       RelayedLogStore::Options{.relay_addresses =
-                                   [this] {
-                                     return RelayAddresses(ledger_,
-                                                           options_.data_centre,
-                                                           options_.name);
+                                   [this](RouteHealth::Operation operation) {
+                                     return RelayAddresses(
+                                         ledger_, options_.data_centre,
+                                         options_.name, operation);
                                    },
                                .prefer_relays = true},
       open_store(), route_health_);
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -63,7 +63,9 @@
              relay_writer_),
       job_service_(options_.job_service, rules_, ledger_, writer_, metrics_),
       leadership_(
-          {.name = options_.name, .records = options_.records},
+          {.name = options_.name,
+           .records = options_.records,
+           .last_read_at = [this] { return ledger_.view().as_of; }},
           open_store(),
           [this](LedgerRecord record) {
             writer_.Append({.record = std::move(record),
@@ -114,8 +116,12 @@
 
 std::vector<std::string> RelayAddresses(const LedgerFollower& ledger,
                                         const std::string& data_centre,
-                                        const std::string& self) {
-  RelayOrderInput input{.process_name = self, .data_centre = data_centre};
+                                        const std::string& self,
+                                        RouteHealth::Operation operation) {
+  RelayOrderInput input{
+      .process_name = self,
+      .data_centre = data_centre,
+      .is_append = operation == RouteHealth::Operation::kAppend};
   ledger.Read([&](const Ledger& state, const LedgerView&) {
     for (const auto& [name, entry] : state.entries()) {
       if (name != self) {
@@ -133,10 +139,10 @@
     const StoreFactory& open_store) {
   return std::make_unique<RelayedLogStore>(
       RelayedLogStore::Options{.relay_addresses =
-                                   [this] {
-                                     return RelayAddresses(ledger_,
-                                                           options_.data_centre,
-                                                           options_.name);
+                                   [this](RouteHealth::Operation operation) {
+                                     return RelayAddresses(
+                                         ledger_, options_.data_centre,
+                                         options_.name, operation);
                                    }},
       open_store(), route_health_);
 }
@@ -157,6 +163,12 @@
   });
 }
 
+std::size_t EntryNode::EntryCount() const {
+  return ledger_.Read([](const Ledger& ledger, const LedgerView&) {
+    return ledger.entries().size();
+  });
+}
+
 void EntryNode::AwaitReplay(std::optional<std::int64_t> end) {
   if (end) {
     ledger_.ExpectEnd(*end);
@@ -305,7 +317,8 @@
     } else if (is_leader) {
       PlanOnce(now, planner_view.epoch);
       SaveSnapshot(now);
-    } else if (leadership_.MayCampaign(planner_view, now, is_draining_)) {
+    } else if (leadership_.MayCampaign(planner_view, now, is_draining_,
+                                       EntryCount())) {
       metrics_.Add(Counter::kOwnershipChanges);
       ledger_.SetReadInterval(Duration(0));
       AwaitReplay(leadership_.Campaign(planner_view.epoch + 1));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -26,7 +26,8 @@
 // which the process `self` in `data_centre` tries them.
 std::vector<std::string> RelayAddresses(const LedgerFollower& ledger,
                                         const std::string& data_centre,
-                                        const std::string& self);
+                                        const std::string& self,
+                                        RouteHealth::Operation operation);
 
 // Runs an entry: replays the ledger and the rules, serves client requests, and
 // makes scheduling decisions while it is the elected planner.
@@ -47,7 +48,7 @@
     // Least time between two reads of the ledger while another entry is the
     // planner. Each read takes what was appended in between, so the calls to
     // the log service do not grow with the records.
-    Duration follower_read_interval{100};
+    Duration follower_read_interval{40};
     // A quarter of the shortest history that the log service retains.
     Duration snapshot_interval{5000};
   };
@@ -74,6 +75,7 @@
   void PlanOnce(Time now, std::int64_t epoch);
   void SaveSnapshot(Time now);
   // Waits until the log is replayed up to `end`. Empty: does nothing.
+  std::size_t EntryCount() const;
   void AwaitReplay(std::optional<std::int64_t> end);
   void LogJobEnd(const Ledger& ledger,
                  const LedgerRecord& record,
--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -25,6 +25,7 @@
           std::to_string(std::random_device{}())),
       store_(std::move(store)),
       fallback_append_(std::move(fallback_append)),
+      schedule_(options_.name, {}),
       append_timeout_(options_.append_timeout) {}
 
 bool PlannerLeadership::IsLeader(const PlannerView& planner_view) const {
@@ -34,20 +35,28 @@
 
 bool PlannerLeadership::MayCampaign(const PlannerView& planner_view,
                                     Time now,
-                                    bool is_draining) const {
-  // There is no planner, or it was an earlier run of this process, or it is
-  // this run and has stepped down.
-  const bool vacant =
-      planner_view.epoch > 0 &&
-      (planner_view.planner_id.empty() ||
-       planner_view.planner_id.starts_with(options_.name + kRunSeparator));
-  if (vacant) {
+                                    bool is_draining,
+                                    std::size_t entries) {
+  if (planner_view.epoch != scheduled_epoch_) {
+    scheduled_epoch_ = planner_view.epoch;
+    schedule_.OnSuccess();
+  }
+  if (!schedule_.MayTry(now)) {
+    return false;
+  }
+  // It was an earlier run of this process, or is this run and has stepped down.
+  if (planner_view.epoch > 0 &&
+      planner_view.planner_id.starts_with(options_.name + kRunSeparator)) {
+    return now > planner_view.last_heartbeat_at;
+  }
+  const Duration delay = schedule_.DelayOf(planner_view.epoch, entries);
+  if (planner_view.epoch > 0 && planner_view.planner_id.empty()) {
     return now - planner_view.last_heartbeat_at >
-           (is_draining ? options_.draining_delay : Duration(0));
+           delay + (is_draining ? options_.draining_delay : Duration(0));
   }
   const Time since =
       std::max(planner_view.last_heartbeat_at, planner_view.readable_since);
-  return now - since > options_.election_timeout;
+  return now - since > options_.election_timeout + delay;
 }
 
 std::optional<std::int64_t> PlannerLeadership::Campaign(std::int64_t epoch) {
@@ -57,6 +66,9 @@
   const AppendResult result =
       AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1);
   const bool stored = result.kind == AppendResult::Kind::kStored;
+  if (!stored) {
+    schedule_.OnFailure(BootClockNow());
+  }
   LogEvent("planner_election").With("epoch", epoch).With("stored", stored);
   return stored ? std::optional(result.first_offset + 1) : std::nullopt;
 }
@@ -76,13 +88,22 @@
     RaiseFence();
   }
   const bool is_failing = failing_since_ != Time{0};
-  if (is_failing &&
-      BootClockNow() - failing_since_ >= options_.step_down_after) {
+  const Duration limit = result.kind == AppendResult::Kind::kUnknown
+                             ? StepDownAfterSilence()
+                             : options_.step_down_after;
+  if (is_failing && BootClockNow() - failing_since_ >= limit) {
     StepDown(epoch, BootClockNow() - failing_since_);
   }
   return std::nullopt;
 }
 
+Duration PlannerLeadership::StepDownAfterSilence() const {
+  const bool is_readable =
+      options_.last_read_at && options_.last_read_at() > failing_since_;
+  return is_readable ? options_.step_down_after_if_readable
+                     : options_.step_down_after;
+}
+
 AppendResult PlannerLeadership::AppendFenced(
     const std::vector<LedgerRecord>& records,
     std::int64_t epoch) {
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/jobs/ledger_record.h"
+#include "src/node/campaign_schedule.h"
 #include "src/node/planner_fence.h"
 #include "src/store/adaptive_timeout.h"
 #include "src/store/log_store.h"
@@ -42,6 +43,11 @@
     // The planner steps down if no append was stored for this long: a quarter
     // of the election timeout, after which the other entries would take over.
     Duration step_down_after{300};
+    // The same if appends are not answered but reads of the log are: the log
+    // service is slow for all, and another planner would not be faster.
+    Duration step_down_after_if_readable{1300};
+    // When the newest successful read of the log was sent. Empty: not known.
+    std::function<Time()> last_read_at;
     AdaptiveTimeout::Options append_timeout;
   };
   // Appends a record over any route that still works, without waiting.
@@ -56,9 +62,11 @@
   LogStore& store() { return *store_; }
 
   bool IsLeader(const PlannerView& planner_view) const;
+  // `entries`: number of entries that may campaign.
   bool MayCampaign(const PlannerView& planner_view,
                    Time now,
-                   bool is_draining) const;
+                   bool is_draining,
+                   std::size_t entries);
 
   // Both return the end of the log after the append, or nothing if it is not
   // known to be stored.
@@ -71,11 +79,14 @@
                             std::int64_t epoch);
   void RaiseFence();
   void StepDown(std::int64_t epoch, Duration failing_for);
+  Duration StepDownAfterSilence() const;
 
   const Options options_;
   const std::string id_;
   const std::unique_ptr<LogStore> store_;
   const FallbackAppend fallback_append_;
+  CampaignSchedule schedule_;
+  std::int64_t scheduled_epoch_ = 0;  // Of the last planner that was seen.
   PlannerFence fence_;
   AdaptiveTimeout append_timeout_;
   // Epoch in which this process was fenced off or stepped down.
--- a/src/relay/relay_order.cc
+++ b/src/relay/relay_order.cc
@@ -44,7 +44,9 @@
   const auto shared =
       entries.begin() +
       std::clamp<std::int64_t>(wanted, 0, others - entries.begin());
-  SortByScore(in.process_name, entries.begin(), shared);
+  if (!in.is_append) {
+    SortByScore(in.process_name, entries.begin(), shared);
+  }
   SortByScore(in.process_name, others, entries.end());
   std::vector<std::string> out;
   out.reserve(entries.size());
--- a/src/relay/relay_order.h
+++ b/src/relay/relay_order.h
@@ -15,6 +15,9 @@
 struct RelayOrderInput {
   std::string process_name;  // Machine of the caller.
   std::string data_centre;   // Data centre of the caller.
+  // For appends, all processes of a data centre prefer the same relay, which
+  // stores their records in few calls. Reads are spread.
+  bool is_append = false;
   // Agents in the caller's data centre.
   std::int32_t agents = 0;
   // Entries other than the caller.
--- a/src/relay/relayed_log_store.cc
+++ b/src/relay/relayed_log_store.cc
@@ -17,7 +17,7 @@
 
 std::string RelayedLogStore::ChooseRoute(
     RouteHealth::Operation operation) const {
-  std::vector<std::string> routes = options_.relay_addresses();
+  std::vector<std::string> routes = options_.relay_addresses(operation);
   routes.insert(options_.prefer_relays ? routes.end() : routes.begin(),
                 kDirectRoute);
   health_.SortByHealth(routes, operation);
--- a/src/relay/relayed_log_store.h
+++ b/src/relay/relayed_log_store.h
@@ -18,7 +18,8 @@
  public:
   struct Options {
     // Returns the relay addresses, preferred first. Called for each operation.
-    std::function<std::vector<std::string>()> relay_addresses;
+    std::function<std::vector<std::string>(RouteHealth::Operation)>
+        relay_addresses;
     bool prefer_relays = false;  // True: reduces the load of the log service.
     // A relay whose view of the log is older than this counts as failed.
     Duration max_relay_age{900};
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -25,6 +25,9 @@
 constexpr Duration kDrainPollInterval = 10ms;
 // Timeout of a call with a record whose deadline is about to pass.
 constexpr Duration kMinAppendTimeout = 1ms;
+// Longest linger of heartbeats: with an interval between two heartbeats, below
+// the time after which a worker is suspected.
+constexpr Duration kMaxHeartbeatLinger = 600ms;
 // Stored records are kept this long for ReappendRecent(): longer than a reader
 // can lag behind and still count as live.
 constexpr Duration kRecentRetention = 12s;
@@ -92,11 +95,21 @@
   }
 }
 
+Duration LedgerWriter::HeartbeatLinger() const {
+  // Heartbeats take at most a quarter of a slow log service's time from here.
+  constexpr int kAppendTimes = 4;
+  const Duration least = options_.heartbeat_linger;
+  return least <= Duration(0)
+             ? Duration(0)
+             : std::clamp(last_append_time_ * kAppendTimes, least,
+                          std::max(least, kMaxHeartbeatLinger));
+}
+
 bool LedgerWriter::IsBatchDue(Time now) const {
   if (queue_.empty()) {
     return false;
   }
-  return now - queue_.front().queued_at >= options_.heartbeat_linger ||
+  return now - queue_.front().queued_at >= HeartbeatLinger() ||
          std::any_of(queue_.begin(), queue_.end(), [](const Pending& p) {
            return !std::holds_alternative<AgentHeartbeat>(p.item.record);
          });
@@ -108,8 +121,7 @@
       lock, kIdleWait, [this] { return stop_requested_ || !queue_.empty(); });
   while (!stop_requested_ && !queue_.empty() && !IsBatchDue(BootClockNow())) {
     queue_changed_.wait_for(
-        lock,
-        queue_.front().queued_at + options_.heartbeat_linger - BootClockNow());
+        lock, queue_.front().queued_at + HeartbeatLinger() - BootClockNow());
   }
   std::vector<Pending> batch;
   std::size_t bytes = 0;
@@ -199,6 +211,7 @@
     }
     const Time sent_at = BootClockNow();
     const AppendResult result = TryAppend(batch, sent_at);
+    last_append_time_ = BootClockNow() - sent_at;
     if (result.kind == AppendResult::Kind::kStored) {
       is_failing_ = false;
       metrics_.Add(Counter::kAppends);
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -40,7 +40,7 @@
     LogPartition partition;
     AdaptiveTimeout::Options append_timeout;
     // While only heartbeats wait, an append waits this long for more records to
-    // share the call.
+    // share the call; longer on a log service that is slow. 0: not at all.
     Duration heartbeat_linger{0};
   };
 
@@ -83,6 +83,7 @@
   std::vector<Pending> TakeBatch();
   // Whether the queue holds something to send now. Called with the lock.
   bool IsBatchDue(Time now) const;
+  Duration HeartbeatLinger() const;
   void ExpireOverdue(std::vector<Pending>& batch, Time now);
   void Complete(std::vector<Pending>& batch, Outcome outcome, Time sent_at);
   void KeepRecent(const std::vector<Pending>& batch, Time now);
@@ -97,6 +98,7 @@
   bool batch_in_flight_ = false;
   AdaptiveTimeout append_timeout_;  // Used by the writer's thread only.
   std::function<void(std::int64_t)> on_stored_;
+  Duration last_append_time_{0};  // Used by the writer's thread only.
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
--- /dev/null
+++ b/tests/unit/campaign_schedule_test.cc
@@ -0,0 +1,60 @@
+#include "src/node/campaign_schedule.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace marjoramplank {
+namespace {
+
+TEST_CASE("campaign schedule: 55 entries lose their planner", "[election]") {
+  std::vector<Duration> delays;
+  for (int n = 0; n < 55; ++n) {
+    const CampaignSchedule schedule("edge-" + std::to_string(n), {});
+    delays.push_back(schedule.DelayOf(/*epoch=*/7, /*entries=*/55));
+  }
+  std::sort(delays.begin(), delays.end());
+
+  SECTION("the first campaigns soon") {
+    CHECK(delays.front() <= 60ms);
+  }
+  SECTION("few campaign before its election can be read") {
+    // An append, and a read of an entry that follows.
+    const Duration election_known = delays.front() + 60ms;
+    CHECK(std::count_if(delays.begin(), delays.end(), [&](Duration delay) {
+            return delay <= election_known;
+          }) <= 8);
+  }
+  SECTION("all campaign within the spread") {
+    CHECK(delays.back() <= 800ms);
+  }
+}
+
+TEST_CASE("campaign schedule: a few entries hardly wait", "[election]") {
+  for (int n = 0; n < 3; ++n) {
+    const CampaignSchedule schedule("edge-" + std::to_string(n), {});
+    CHECK(schedule.DelayOf(2, 3) <= 45ms);
+  }
+}
+
+TEST_CASE("campaign schedule: campaigns without success back off",
+          "[election]") {
+  CampaignSchedule schedule("edge-1", {});
+  Time now = 10s;
+  int tries = 0;
+  for (; now < 20s; now += 10ms) {
+    if (schedule.MayTry(now)) {
+      ++tries;
+      schedule.OnFailure(now);
+    }
+  }
+  CHECK(tries <= 10);
+
+  SECTION("until a planner is elected") {
+    schedule.OnSuccess();
+    CHECK(schedule.MayTry(now));
+  }
+}
+
+}  // namespace
+}  // namespace marjoramplank
--- a/tests/unit/planner_leadership_test.cc
+++ b/tests/unit/planner_leadership_test.cc
@@ -38,9 +38,13 @@
 
 TEST_CASE("planner leadership", "[planner_seat]") {
   ScriptedStore::Script script;
+  Time last_read_at{0};
   std::vector<LedgerRecord> fallback_records;
   PlannerLeadership leadership(
-      {.name = "e", .records = {.topic = "t"}, .step_down_after = 0ms},
+      {.name = "e",
+       .records = {.topic = "t"},
+       .step_down_after = 0ms,
+       .last_read_at = [&] { return last_read_at; }},
       std::make_unique<ScriptedStore>(script),
       [&](LedgerRecord r) { fallback_records.push_back(std::move(r)); });
   REQUIRE(leadership.Campaign(3) == 8);
@@ -64,7 +68,7 @@
     CHECK_FALSE(leadership.IsLeader(own_view));
 
     SECTION("and may campaign again at once if no other entry was elected") {
-      CHECK(leadership.MayCampaign(own_view, now + 1ms, false));
+      CHECK(leadership.MayCampaign(own_view, now + 1ms, false, 1));
     }
     SECTION("and resigns only once") {
       leadership.Append(decisions, 3);
@@ -86,6 +90,22 @@
     CHECK(fallback_records.size() == 1);
   }
 
+  SECTION("does not step down at once while reads are answered") {
+    // The log service is slow for all: appends time out, reads come late.
+    script.decisions = AppendResult::Kind::kUnknown;
+    script.fence_raises = AppendResult::Kind::kUnknown;
+    last_read_at = kNever;
+    leadership.Append(decisions, 3);
+    CHECK(fallback_records.empty());
+    CHECK(leadership.IsLeader(own_view));
+
+    SECTION("but when they are not answered any more") {
+      last_read_at = Time{0};
+      leadership.Append(decisions, 3);
+      CHECK(fallback_records.size() == 1);
+    }
+  }
+
   SECTION("loses leadership when fenced off") {
     script.decisions = AppendResult::Kind::kFenced;
     leadership.Append(decisions, 3);
@@ -95,14 +115,14 @@
   SECTION("campaigns against a planner only after the election timeout") {
     const PlannerView other_view{
         .planner_id = "f#1", .epoch = 4, .last_heartbeat_at = now};
-    CHECK_FALSE(leadership.MayCampaign(other_view, now + 1200ms, false));
-    CHECK(leadership.MayCampaign(other_view, now + 1400ms, false));
+    CHECK_FALSE(leadership.MayCampaign(other_view, now + 1200ms, false, 1));
+    CHECK(leadership.MayCampaign(other_view, now + 1400ms, false, 1));
   }
 
   SECTION("campaigns for a vacant leadership later while draining") {
     const PlannerView vacant_view{.epoch = 4, .last_heartbeat_at = now};
-    CHECK(leadership.MayCampaign(vacant_view, now + 1ms, false));
-    CHECK_FALSE(leadership.MayCampaign(vacant_view, now + 100ms, true));
+    CHECK(leadership.MayCampaign(vacant_view, now + 1ms, false, 1));
+    CHECK_FALSE(leadership.MayCampaign(vacant_view, now + 100ms, true, 1));
   }
 }
 
--- a/tests/unit/relay_order_test.cc
+++ b/tests/unit/relay_order_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
+#include <string>
 
 namespace marjoramplank {
 namespace {
@@ -43,6 +45,18 @@
       CHECK(agents < 24);
     }
   }
+  SECTION("for appends all prefer the same one") {
+    std::set<std::string> first;
+    for (int n = 0; n < 48; ++n) {
+      first.insert(OrderRelays({.process_name = "side-" + std::to_string(n),
+                                .data_centre = "d1",
+                                .is_append = true,
+                                .agents = 48,
+                                .entries = entries})
+                       .front());
+    }
+    CHECK(first.size() == 1);
+  }
   SECTION("the entries of the own data centre come first") {
     const auto order = OrderRelays({.process_name = "side-1",
                                     .data_centre = "d1",
