An unexpected error fails its own request only; demo ends clean

A handler that threw anything but the HTTP library's exceptions left its request counted as open, so a shutdown waited for it for ever, and the caller got no answer.

Requests are counted by scope; the caller is told that the outcome is not known (500).

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <iostream>
 #include <thread>
 #include <utility>
 
@@ -20,6 +21,7 @@
 
 namespace {
 
+constexpr int kInternalError = 500;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kBadRequest = 400;
 
@@ -58,6 +60,20 @@
   std::atomic<bool> is_draining{false};  // Each response closes its connection.
 };
 
+// Counts a request as open while it exists, however its handler ends.
+class OpenRequest {
+ public:
+  explicit OpenRequest(ServerState& state) : state_(state) {
+    ++state_.open_requests;
+  }
+  ~OpenRequest() { --state_.open_requests; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+ private:
+  ServerState& state_;
+};
+
 class RequestHandler final : public Poco::Net::HTTPRequestHandler {
  public:
   RequestHandler(const HttpServer::Handler& handler,
@@ -67,7 +83,7 @@
 
   void handleRequest(Poco::Net::HTTPServerRequest& in,
                      Poco::Net::HTTPServerResponse& out) override {
-    ++state_.open_requests;
+    const OpenRequest open_request(state_);
     if (state_.is_draining) {
       // The client's next request goes to another instance.
       out.setKeepAlive(false);
@@ -77,7 +93,6 @@
     } catch (const Poco::Exception&) {
       // The client has disconnected; no response can be sent.
     }
-    --state_.open_requests;
   }
 
  private:
@@ -114,7 +129,21 @@
                R"( bytes; nothing was stored"},"state":"not_run"})"});
       return;
     }
-    SendResponse(out, handler_(request));
+    SendResponse(out, CallHandler(request));
+  }
+
+  // An unexpected error fails its own request only.
+  HttpResponse CallHandler(const HttpRequest& request) const {
+    try {
+      return handler_(request);
+    } catch (const std::exception& e) {
+      std::cerr << "http server: " << request.method << " " << request.path
+                << " failed: " << e.what() << std::endl;
+      return {
+          .status = kInternalError,
+          .body =
+              R"({"error":{"code":"internal","message":"unexpected error; the outcome is not known"}})"};
+    }
   }
 
   Duration ClientTimeout(const Poco::Net::HTTPServerRequest& in) const {
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -6,6 +6,8 @@
 declare -A pid_of
 # Stops every process with SIGTERM, after 4 s with SIGKILL. SIGCONT wakes frozen ones, which would not act on SIGTERM.
 stop_cluster() {
+  set +e  # A process that has ended already is no error.
+  trap - EXIT
   local pid
   for pid in "${pid_of[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -TERM "$pid" 2>/dev/null; done
   for _ in $(seq 40); do
