Do not repeat appends whose answer cannot come in time

Agents went to other relays after 0.5 s, which made more appenders.

A record that has less time left than half of the recent response time is completed (not stored, or unknown if it was sent before). Relays wait up to 2.2 s for an answer, and on a slow log service leave the time of one append between two.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -15,6 +15,8 @@
 // Shortest append timeout of a writer that has no other route: a repeat would
 // only add to the load of a slow log service.
 constexpr Duration kMinTimeoutWithoutFallback = 900ms;
+// Longer than appends wait in the log service before it refuses them (2 s).
+constexpr Duration kMaxTimeoutWithoutFallback = 2200ms;
 // Heartbeats of agents wait this long for others to share an append. Well below
 // the age limit of a heartbeat.
 constexpr Duration kHeartbeatLinger = 150ms;
@@ -53,7 +55,8 @@
               metrics_),
       relay_writer_(
           {.partition = options_.records,
-           .append_timeout = {.min_timeout = kMinTimeoutWithoutFallback},
+           .append_timeout = {.min_timeout = kMinTimeoutWithoutFallback,
+                              .max_timeout = kMaxTimeoutWithoutFallback},
            .heartbeat_linger = kHeartbeatLinger},
           open_store(),
           metrics_),
--- a/src/store/adaptive_timeout.h
+++ b/src/store/adaptive_timeout.h
@@ -19,7 +19,10 @@
 
   explicit AdaptiveTimeout(Options options);
 
-  Duration current() const;           // Timeout of the next append.
+  Duration current() const;  // Timeout of the next append.
+  // The largest recent response time, after a timeout at least the time that
+  // was waited.
+  Duration recent_latency() const { return recent_max_latency_; }
   void OnResponse(Duration latency);  // The append was stored.
   // The append timed out. Multiplies the timeout at once, because a log service
   // that is slow for all callers must not receive every append twice.
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -28,6 +28,10 @@
 // Longest linger of heartbeats: with an interval between two heartbeats, below
 // the time after which a worker is suspected.
 constexpr Duration kMaxHeartbeatLinger = 600ms;
+// An append that takes longer shows a log service that is slow.
+constexpr Duration kSlowAppend = 100ms;
+// A record with more time left than this is always tried.
+constexpr Duration kMaxNeededTime = 250ms;
 // Stored records are kept this long for ReappendRecent(): longer than a reader
 // can lag behind and still count as live.
 constexpr Duration kRecentRetention = 12s;
@@ -105,8 +109,15 @@
                           std::max(least, kMaxHeartbeatLinger));
 }
 
+Duration LedgerWriter::RecordLinger() const {
+  return options_.heartbeat_linger > Duration(0) &&
+                 last_append_time_ > kSlowAppend
+             ? std::min(last_append_time_, kMaxHeartbeatLinger)
+             : Duration(0);
+}
+
 bool LedgerWriter::IsBatchDue(Time now) const {
-  if (queue_.empty()) {
+  if (queue_.empty() || now - last_append_at_ < RecordLinger()) {
     return false;
   }
   return now - queue_.front().queued_at >= HeartbeatLinger() ||
@@ -120,8 +131,10 @@
   queue_changed_.wait_for(
       lock, kIdleWait, [this] { return stop_requested_ || !queue_.empty(); });
   while (!stop_requested_ && !queue_.empty() && !IsBatchDue(BootClockNow())) {
+    const Time due = std::max(queue_.front().queued_at + HeartbeatLinger(),
+                              last_append_at_ + RecordLinger());
     queue_changed_.wait_for(
-        lock, queue_.front().queued_at + HeartbeatLinger() - BootClockNow());
+        lock, std::clamp(due - BootClockNow(), kMinAppendTimeout, kIdleWait));
   }
   std::vector<Pending> batch;
   std::size_t bytes = 0;
@@ -137,9 +150,12 @@
 }
 
 void LedgerWriter::ExpireOverdue(std::vector<Pending>& batch, Time now) {
-  const auto first_overdue = std::stable_partition(
-      batch.begin(), batch.end(),
-      [&](const Pending& p) { return p.item.deadline > now; });
+  const Duration needed =
+      std::min(append_timeout_.recent_latency() / 2, kMaxNeededTime);
+  const auto first_overdue =
+      std::stable_partition(batch.begin(), batch.end(), [&](const Pending& p) {
+        return p.item.deadline > now && p.item.deadline - now > needed;
+      });
   for (auto it = first_overdue; it != batch.end(); ++it) {
     if (it->item.on_done) {
       it->item.on_done(
@@ -211,7 +227,8 @@
     }
     const Time sent_at = BootClockNow();
     const AppendResult result = TryAppend(batch, sent_at);
-    last_append_time_ = BootClockNow() - sent_at;
+    last_append_at_ = BootClockNow();
+    last_append_time_ = last_append_at_ - sent_at;
     if (result.kind == AppendResult::Kind::kStored) {
       is_failing_ = false;
       metrics_.Add(Counter::kAppends);
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -40,7 +40,8 @@
     LogPartition partition;
     AdaptiveTimeout::Options append_timeout;
     // While only heartbeats wait, an append waits this long for more records to
-    // share the call; longer on a log service that is slow. 0: not at all.
+    // share the call; longer on a log service that is slow, then also for other
+    // records. 0: not at all.
     Duration heartbeat_linger{0};
   };
 
@@ -84,6 +85,12 @@
   // Whether the queue holds something to send now. Called with the lock.
   bool IsBatchDue(Time now) const;
   Duration HeartbeatLinger() const;
+  // Least time between two appends for any records: the time of the last one,
+  // if the log service is slow.
+  Duration RecordLinger() const;
+  // Completes the records that could not be stored before their deadline, by
+  // the recent response times. A call that ends before the answer can come
+  // would only add to the load of a slow log service.
   void ExpireOverdue(std::vector<Pending>& batch, Time now);
   void Complete(std::vector<Pending>& batch, Outcome outcome, Time sent_at);
   void KeepRecent(const std::vector<Pending>& batch, Time now);
@@ -98,7 +105,9 @@
   bool batch_in_flight_ = false;
   AdaptiveTimeout append_timeout_;  // Used by the writer's thread only.
   std::function<void(std::int64_t)> on_stored_;
-  Duration last_append_time_{0};  // Used by the writer's thread only.
+  // Used by the writer's thread only.
+  Duration last_append_time_{0};
+  Time last_append_at_{0};
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
--- a/tests/unit/ledger_writer_test.cc
+++ b/tests/unit/ledger_writer_test.cc
@@ -76,6 +76,16 @@
           LedgerWriter::Outcome::kUnknown);
   }
 
+  SECTION("an append is not repeated when no answer can come in time") {
+    // A log service that is slow for all would get each record many times.
+    LedgerWriter writer(
+        {.partition = {.topic = "t"}},
+        std::make_unique<UnresponsiveStore>(append_log, kAlways), metrics);
+    writer.AppendAndWait(JobCancelled{.job = "j"}, BootClockNow() + 150ms);
+    const std::lock_guard lock(append_log.mutex);
+    CHECK(append_log.timeouts.size() == 1);
+  }
+
   SECTION("a record past its deadline is not sent") {
     LedgerWriter writer({.partition = {.topic = "t"}},
                         std::make_unique<UnresponsiveStore>(append_log, 0),
