Let the reads of followers grow with the number of entries

Eleven entries made few calls before, and each order waited up to 40 ms at a relay, twice where a task is stopped first.

The interval is 0.75 ms an entry, 40 ms at most: 2 ms with 3 entries, 8 ms with 11, 40 ms with 55. All followers together make about 1,300 calls a second at any of these sizes.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -306,8 +306,9 @@
     }
     const PlannerView planner_view = CurrentPlanner();
     const bool is_leader = leadership_.IsLeader(planner_view);
-    ledger_.SetReadInterval(is_leader ? Duration(0)
-                                      : options_.follower_read_interval);
+    ledger_.SetReadInterval(
+        is_leader ? Duration(0)
+                  : options_.follower_read_interval(EntryCount()));
     if (resign_requested_) {
       if (is_leader && !has_resigned_) {
         AwaitReplay(
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -46,9 +47,14 @@
     // Interval of the planner's heartbeats on the ledger.
     Duration planner_heartbeat_interval{400};
     // Least time between two reads of the ledger while another entry is the
-    // planner. Each read takes what was appended in between, so the calls to
-    // the log service do not grow with the records.
-    Duration follower_read_interval{40};
+    // planner. Each read takes what was appended in between. It grows with the
+    // number of entries, so that all entries together make about 1,300 calls a
+    // second, up to a maximum: it delays orders to the agents.
+    Duration follower_read_interval(std::size_t entries) const {
+      return std::min(Duration(static_cast<std::int64_t>(entries) * 3 / 4),
+                      max_follower_read_interval);
+    }
+    Duration max_follower_read_interval{40};
     // A quarter of the shortest history that the log service retains.
     Duration snapshot_interval{5000};
   };
--- a/tests/unit/ledger_follower_test.cc
+++ b/tests/unit/ledger_follower_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "src/jobs/ledger_codec.h"
+#include "src/node/entry_node.h"
 
 namespace marjoramplank {
 namespace {
@@ -81,5 +82,17 @@
   }
 }
 
+TEST_CASE("entry: reads of all followers together", "[ledger_follower]") {
+  const EntryNode::Options options;
+  const auto calls_per_s = [&](std::size_t entries) {
+    const Duration interval = options.follower_read_interval(entries);
+    return static_cast<double>(entries) / ToSeconds(interval);
+  };
+  CHECK(options.follower_read_interval(3) <= 2ms);
+  CHECK(calls_per_s(11) < 1500);
+  CHECK(calls_per_s(55) < 1500);
+  CHECK(options.follower_read_interval(1000) == 40ms);
+}
+
 }  // namespace
 }  // namespace marjoramplank
