A worker whose address refuses connections has ended

Urgent gangs that were planned 10 ms after their submission had a member there and were planned again 4.5 to 5.8 s later, when the last lease had expired: late by seconds, all of them. Ruled out: entries without the log service (submissions took 7 to 70 ms there, but for two), the dispatcher, preemption (4 of 60 jobs).

The agent runs on the worker's machine, and a port with no listener refuses a connection (the users' deployment page). An incarnation that has answered before, and then refuses three connections in a row over 0.2 s, has ended: its tasks are given up at once. Silence, time-outs and calls that could not be sent prove nothing and wait for the leases as before, and so does a new worker that does not listen yet.

Tests: worker_liveness_test, two sections failed before; "a new worker does not listen yet" and "but not after one refused connection" bound the other side.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -114,6 +114,9 @@
               .reason = "the answer was cut off"};
     }
     return answer;
+  } catch (const Poco::Net::ConnectionRefusedException& e) {
+    session_.reset();
+    return {.kind = HttpResult::Kind::kRefused, .reason = e.displayText()};
   } catch (const Poco::Exception& e) {
     session_.reset();
     return {.kind = maybe_sent ? HttpResult::Kind::kNoAnswer
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -19,12 +19,18 @@
   enum class Kind {
     kAnswered,
     kNotSent,   // Not sent: the peer cannot have acted on the request.
+    kRefused,   // Not sent: no process listens at the address.
     kNoAnswer,  // May have been sent; no complete response was received.
   };
   Kind kind = Kind::kNoAnswer;
   int status = 0;      // HTTP status, if answered.
   std::string body;    // Response body, if answered.
   std::string reason;  // Error, if not answered.
+
+  // The peer cannot have acted on the request.
+  bool was_not_sent() const {
+    return kind == Kind::kNotSent || kind == Kind::kRefused;
+  }
 };
 
 // A keep-alive HTTP connection to one address, which reconnects when needed.
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -76,6 +76,8 @@
       return "wrong_life";
     case CommandReply::Kind::kNotSent:
       return "not_sent";
+    case CommandReply::Kind::kConnectionRefused:
+      return "connection_refused";
     case CommandReply::Kind::kNoAnswer:
       return "no_answer";
   }
--- a/src/services/http_log_service.cc
+++ b/src/services/http_log_service.cc
@@ -50,7 +50,7 @@
                                               .target = options_.stream,
                                               .body = RecordsBody(lines),
                                               .limit = options_.timeout});
-  if (answer.kind == HttpResult::Kind::kNotSent) {
+  if (answer.was_not_sent()) {
     return AppendOutcome::kRefused;
   }
   switch (answer.status) {
--- a/src/services/http_worker_service.cc
+++ b/src/services/http_worker_service.cc
@@ -94,9 +94,8 @@
       return {.outcome = StartOutcome::kRefused,
               .reason = RefusalReason(answer.body)};
     default:
-      return {.outcome = answer.kind == HttpResult::Kind::kNotSent
-                             ? StartOutcome::kRefused
-                             : StartOutcome::kUnknown,
+      return {.outcome = answer.was_not_sent() ? StartOutcome::kRefused
+                                               : StartOutcome::kUnknown,
               .reason = "the worker cannot be reached"};
   }
 }
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -41,7 +41,7 @@
   worker_->leaving = heartbeat.leaving || was_leaving;
   is_adopted_ = false;
   if (!is_same_incarnation) {
-    ResetWorkerState(now, Time{0});
+    ResetWorkerState(now, Time{0}, /*has_answered=*/false);
   }
   contact_.OnHeartbeat(now);
   UpdateWorkerClock(now, heartbeat.clock_ms);
@@ -68,7 +68,8 @@
   was_accepting_ = report.accepting;
   adopted_at_ = now;
   // The process before may have renewed leases until it ended.
-  ResetWorkerState(now, now + options_.leases.MaxLeaseDuration());
+  ResetWorkerState(now, now + options_.leases.MaxLeaseDuration(),
+                   /*has_answered=*/true);
 }
 
 std::optional<Supervisor::HeardWorker> Supervisor::heard_worker(
@@ -80,8 +81,10 @@
                      .age = now - contact_.heard_at()};
 }
 
-void Supervisor::ResetWorkerState(Time now, Time leases_end_by) {
-  contact_.Reset(leases_end_by);
+void Supervisor::ResetWorkerState(Time now,
+                                  Time leases_end_by,
+                                  bool has_answered) {
+  contact_.Reset(leases_end_by, has_answered);
   runs_.clear();
   unrecorded_ends_.clear();
   last_queued_end_ = 0;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -110,12 +110,14 @@
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
 
-  void ResetWorkerState(Time now, Time leases_end_by);
+  void ResetWorkerState(Time now, Time leases_end_by, bool has_answered);
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
   void AdoptRecordedWorker(Time now, const Ledger& ledger);
-  // Another incarnation answers at the worker's address: this one has ended.
+  // The incarnation has ended, and its tasks with it.
   void EndIncarnation(const std::string& reason);
+  // Ends the incarnation if no process listens at its address any more.
+  void CheckProcessEnded(Time now);
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
                      const std::string& reason);
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -13,11 +13,21 @@
 
 }  // namespace
 
+void Supervisor::CheckProcessEnded(Time now) {
+  if (!has_departed_ && contact_.HasEnded(now)) {
+    EndIncarnation("no process listens at its address");
+  }
+}
+
 void Supervisor::CountReply(Time now, CommandReply::Kind kind) {
   switch (kind) {
     case CommandReply::Kind::kNotSent:
       contact_.OnNotSent(now);
       break;
+    case CommandReply::Kind::kConnectionRefused:
+      contact_.OnConnectionRefused(now);
+      CheckProcessEnded(now);
+      break;
     case CommandReply::Kind::kNoAnswer:
       contact_.OnNoAnswer(now);
       break;
@@ -71,6 +81,7 @@
       break;
     case CommandReply::Kind::kWrongIncarnation:
     case CommandReply::Kind::kNotSent:
+    case CommandReply::Kind::kConnectionRefused:
       run.phase = Phase::kPending;
       break;
     case CommandReply::Kind::kNoAnswer:
@@ -157,14 +168,18 @@
     return;
   }
   UpdateWorkerClock(now, reply.clock_ms);
-  if (reply.kind == HoldReply::Kind::kNotSent) {
+  if (reply.kind == HoldReply::Kind::kNotSent ||
+      reply.kind == HoldReply::Kind::kConnectionRefused) {
     contact_.OnLeaseNotSent();
   } else {
     contact_.OnLeaseMaybeGranted();
   }
   if (reply.kind != HoldReply::Kind::kOk) {
     last_acked_end_ = std::min(last_acked_end_, call.acked_end - 1);
-    if (reply.kind == HoldReply::Kind::kNotSent) {
+    if (reply.kind == HoldReply::Kind::kConnectionRefused) {
+      contact_.OnConnectionRefused(now);
+      CheckProcessEnded(now);
+    } else if (reply.kind == HoldReply::Kind::kNotSent) {
       contact_.OnNotSent(now);
     } else if (reply.kind == HoldReply::Kind::kStale) {
       contact_.OnAnswer(now);
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -78,6 +78,8 @@
     kWrongIncarnation,
     // Not carried out: the connection to the worker failed.
     kNotSent,
+    // Not carried out: no process listens at the worker's address.
+    kConnectionRefused,
     // In doubt: it may have been carried out, or may still be.
     kNoAnswer,
   };
@@ -100,7 +102,9 @@
     kStale,             // The worker has seen a higher fencing token.
     kWrongIncarnation,  // Another incarnation of the worker answered.
     kNotSent,           // The connection to the worker failed.
-    kNoAnswer,          // May have been carried out, or may still be.
+    // No process listens at the worker's address.
+    kConnectionRefused,
+    kNoAnswer,  // May have been carried out, or may still be.
   };
   Kind kind = Kind::kNoAnswer;
   std::string reason;
--- a/src/supervisor/worker_contact.cc
+++ b/src/supervisor/worker_contact.cc
@@ -4,35 +4,53 @@
 
 namespace marjoramplank {
 
-void WorkerContact::Reset(Time leases_end_by) {
+void WorkerContact::Reset(Time leases_end_by, bool has_answered) {
   *this = {};
+  has_answered_ = has_answered;
   last_lease_end_ = leases_end_by;
 }
 
 void WorkerContact::OnHeartbeat(Time now) {
   heard_at_ = now;
   failures_in_row_ = 0;
+  refused_in_row_ = 0;
 }
 
 void WorkerContact::OnAnswer(Time now) {
   heard_at_ = now;
+  has_answered_ = true;
   failures_in_row_ = 0;
   failing_since_ = Time{0};
+  unsent_in_row_ = 0;
   refused_in_row_ = 0;
 }
 
 void WorkerContact::OnNoAnswer(Time now) {
   failing_since_ = IsFailing() ? failing_since_ : now;
+  unsent_in_row_ = 0;
   refused_in_row_ = 0;
   ++failures_in_row_;
 }
 
 void WorkerContact::OnNotSent(Time now) {
   failing_since_ = IsFailing() ? failing_since_ : now;
-  ++refused_in_row_;
+  ++unsent_in_row_;
+  refused_in_row_ = 0;
   ++failures_in_row_;
 }
 
+void WorkerContact::OnConnectionRefused(Time now) {
+  const int refused_before = refused_in_row_;
+  refused_since_ = refused_before == 0 ? now : refused_since_;
+  OnNotSent(now);
+  refused_in_row_ = refused_before + 1;
+}
+
+bool WorkerContact::HasEnded(Time now) const {
+  return has_answered_ && refused_in_row_ >= kRefusedConnections &&
+         now - refused_since_ >= kRefusedFor;
+}
+
 void WorkerContact::OnStartSent(Time lease_end) {
   last_lease_end_ = std::max(last_lease_end_, lease_end);
 }
@@ -48,7 +66,7 @@
 
 bool WorkerContact::IsReachable(Time now) const {
   return !IsFailing() || (now - failing_since_ < kUnreachableAfter &&
-                          refused_in_row_ < kRefusedConnections);
+                          unsent_in_row_ < kUnsentCalls);
 }
 
 bool WorkerContact::MayRenewLeases(Time now) const {
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -15,8 +15,13 @@
  public:
   // A worker that has not answered for this long is unreachable.
   static constexpr Duration kUnreachableAfter{1500};
-  // So is one whose endpoint has refused this many connections in a row.
-  static constexpr int kRefusedConnections = 2;
+  // So is one to which this many calls in a row could not be sent.
+  static constexpr int kUnsentCalls = 2;
+  // A worker that has answered before and now refuses this many connections in
+  // a row, over this time, has ended: its process would listen. A silent one
+  // does not refuse.
+  static constexpr int kRefusedConnections = 3;
+  static constexpr Duration kRefusedFor{200};
   // Leases of a worker that does not answer are renewed for this long. Later
   // calls carry no lease, so that the last one expires.
   static constexpr Duration kRenewWhileSilent{1500};
@@ -28,14 +33,17 @@
 
   // Another incarnation of the worker. `leases_end_by`: an earlier process of
   // the agent may have granted leases up to then.
-  void Reset(Time leases_end_by);
+  // `has_answered`: an earlier process of the agent has called it.
+  void Reset(Time leases_end_by, bool has_answered);
   // The worker has sent a heartbeat.
   void OnHeartbeat(Time now);
   void OnAnswer(Time now);
   // The worker may have received the call, but has not answered.
   void OnNoAnswer(Time now);
-  // The call has not left this machine: the connection was refused.
+  // The call has not reached the worker.
   void OnNotSent(Time now);
+  // The same, as no process listens at the worker's address.
+  void OnConnectionRefused(Time now);
 
   // A start carries a lease that lasts until `lease_end` at the latest.
   void OnStartSent(Time lease_end);
@@ -54,6 +62,8 @@
   // Time to wait between two listings: doubles while the worker does not
   // answer, until it is heard again.
   Duration ListingInterval() const;
+  // The worker's process has ended, and its tasks with it.
+  bool HasEnded(Time now) const;
   // The worker does not answer, and no lease can last until now.
   bool HaveLeasesExpired(Time now) const;
 
@@ -62,7 +72,10 @@
   // Time of the first of the calls in a row without an answer. 0: the last call
   // had one.
   Time failing_since_{0};
+  bool has_answered_ = false;
+  int unsent_in_row_ = 0;
   int refused_in_row_ = 0;
+  Time refused_since_{0};
   int failures_in_row_ = 0;  // Since the last sign of life.
   Time last_lease_end_{0};   // No lease that was granted lasts longer.
   Time lease_in_flight_{0};  // End of the lease of the call under way. 0: none.
--- a/tests/unit/http_connection_test.cc
+++ b/tests/unit/http_connection_test.cc
@@ -38,14 +38,14 @@
     CHECK(Get(connection, 300ms).kind == HttpResult::Kind::kNoAnswer);
     CHECK(std::chrono::steady_clock::now() - sent_at < 2s);
   }
-  SECTION("a refused connection is reported as not sent") {
+  SECTION("a refused connection is told from one that is not answered") {
     std::string address;
     {
       const ScriptedServer closed({});
       address = closed.address();
     }
     HttpConnection connection(address);
-    CHECK(Get(connection, 300ms).kind == HttpResult::Kind::kNotSent);
+    CHECK(Get(connection, 300ms).kind == HttpResult::Kind::kRefused);
   }
 }
 
--- a/tests/unit/worker_liveness_test.cc
+++ b/tests/unit/worker_liveness_test.cc
@@ -55,15 +55,18 @@
                       .members = {{.index = 0, .incarnation = kIncarnation}}});
 }
 
+// How calls to the worker end.
+enum class Answers { kYes, kSilent, kRefused };
+
 // One agent's supervisor with its ledger and a worker that answers on demand.
 struct Rig {
   explicit Rig(const std::string& process)
       : supervisor({.agent = "agent", .process = process}), process(process) {}
 
-  // Runs until `end`. `answers`: the worker answers and sends heartbeats.
-  void RunUntil(Time end, bool answers) {
+  // Runs until `end`. A worker that answers also sends heartbeats.
+  void RunUntil(Time end, Answers answers) {
     for (; now < end; now += kTick) {
-      if (answers && now.count() % 1500 == 0) {
+      if (answers == Answers::kYes && now.count() % 1500 == 0) {
         supervisor.OnHeartbeat(now, Heartbeat(now));
       }
       ledger.Apply(now, AgentHeartbeat{.agent = "agent", .process = process});
@@ -81,21 +84,25 @@
       }
     }
   }
-  void Carry(const TaskCommand& command, bool answers) {
+  void Carry(const TaskCommand& command, Answers answers) {
     CommandReply reply;
-    if (answers) {
+    if (answers == Answers::kYes) {
       reply = {.kind = CommandReply::Kind::kDone, .clock_ms = now.count()};
+    } else if (answers == Answers::kRefused) {
+      reply.kind = CommandReply::Kind::kConnectionRefused;
     }
     if (const auto* start = std::get_if<StartCall>(&command)) {
-      running = running || answers;
+      running = running || answers == Answers::kYes;
       supervisor.OnStartReply(now, *start, reply);
     } else {
       supervisor.OnStopReply(now, std::get<StopCall>(command), reply);
     }
   }
-  HoldReply Answer(bool answers) const {
+  HoldReply Answer(Answers answers) const {
     HoldReply reply;
-    if (answers) {
+    if (answers == Answers::kRefused) {
+      reply.kind = HoldReply::Kind::kConnectionRefused;
+    } else if (answers == Answers::kYes) {
       reply = {.kind = HoldReply::Kind::kOk, .clock_ms = now.count()};
       if (running) {
         reply.running.push_back({.task = kTask});
@@ -127,27 +134,37 @@
           "[liveness]") {
   Rig rig("p1");
   rig.ledger = LedgerWithWorker(rig.now);
-  rig.RunUntil(rig.now + 1s, /*answers=*/true);
+  rig.RunUntil(rig.now + 1s, Answers::kYes);
   OrderTask(rig.now, rig.ledger);
-  rig.RunUntil(rig.now + 1s, /*answers=*/true);
+  rig.RunUntil(rig.now + 1s, Answers::kYes);
   REQUIRE(rig.running);
   const Time died_at = rig.now;
 
   SECTION("its tasks are given up once every lease has expired") {
-    rig.RunUntil(died_at + 7s, /*answers=*/false);
+    rig.RunUntil(died_at + 7s, Answers::kSilent);
     CHECK_FALSE(rig.HasEmptied());
-    rig.RunUntil(died_at + 16s, /*answers=*/false);
+    rig.RunUntil(died_at + 16s, Answers::kSilent);
     CHECK(rig.HasEmptied());
     CHECK(rig.ledger.FindWorker(kIncarnation)->runs.empty());
   }
   SECTION("a task that the planner has stopped is given up as well") {
     rig.ledger.Apply(rig.now, RunStopped{.epoch = 1, .first = kTask});
-    rig.RunUntil(died_at + 16s, /*answers=*/false);
+    rig.RunUntil(died_at + 16s, Answers::kSilent);
     CHECK(rig.ledger.FindWorker(kIncarnation)->runs.empty());
   }
+  SECTION("its tasks are given up soon if its address refuses connections") {
+    rig.RunUntil(died_at + 600ms, Answers::kRefused);
+    CHECK(rig.HasEmptied());
+    CHECK(rig.ledger.FindWorker(kIncarnation)->incarnation_ended);
+  }
+  SECTION("but not after one refused connection") {
+    rig.RunUntil(died_at + kTick, Answers::kRefused);
+    rig.RunUntil(died_at + 5s, Answers::kYes);
+    CHECK_FALSE(rig.HasEmptied());
+  }
   SECTION("a worker that was only silent for 3 s keeps its task") {
-    rig.RunUntil(died_at + 3s, /*answers=*/false);
-    rig.RunUntil(died_at + 20s, /*answers=*/true);
+    rig.RunUntil(died_at + 3s, Answers::kSilent);
+    rig.RunUntil(died_at + 20s, Answers::kYes);
     CHECK_FALSE(rig.HasEmptied());
     CHECK(rig.ledger.FindWorker(kIncarnation)->runs.size() == 1);
     CHECK(rig.IsAcceptingOnLedger());
@@ -162,13 +179,13 @@
   const Time restarted_at = rig.now;
 
   SECTION("the orders of the process before are given up") {
-    rig.RunUntil(restarted_at + 16s, /*answers=*/false);
+    rig.RunUntil(restarted_at + 16s, Answers::kSilent);
     CHECK(rig.HasEmptied());
     CHECK(rig.ledger.FindWorker(kIncarnation)->runs.empty());
     CHECK_FALSE(rig.IsAcceptingOnLedger());
   }
   SECTION("but not before the leases of the process before have expired") {
-    rig.RunUntil(restarted_at + 7s, /*answers=*/false);
+    rig.RunUntil(restarted_at + 7s, Answers::kSilent);
     CHECK(rig.ledger.FindWorker(kIncarnation)->runs.size() == 1);
   }
 }
@@ -180,11 +197,20 @@
   OrderTask(rig.now, rig.ledger);
   rig.running = true;
   const Time restarted_at = rig.now;
-  rig.RunUntil(restarted_at + 20s, /*answers=*/true);
+  rig.RunUntil(restarted_at + 20s, Answers::kYes);
   CHECK_FALSE(rig.HasEmptied());
   CHECK(rig.ledger.FindWorker(kIncarnation)->runs.size() == 1);
   CHECK(rig.IsAcceptingOnLedger());
 }
 
+TEST_CASE("worker liveness: a new worker does not listen yet", "[liveness]") {
+  Rig rig("p1");
+  rig.supervisor.OnHeartbeat(rig.now, Heartbeat(rig.now));
+  rig.RunUntil(rig.now + 2s, Answers::kRefused);
+  CHECK_FALSE(rig.HasEmptied());
+  rig.RunUntil(rig.now + 4s, Answers::kYes);
+  CHECK(rig.IsAcceptingOnLedger());
+}
+
 }  // namespace
 }  // namespace marjoramplank
