--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -20,7 +20,7 @@
 constexpr Duration kHoldPollInterval = 50ms;
 // Shortest append timeout through an entry's relay: the agent may have to
 // connect first, and the entry batches the appends of several callers.
-constexpr Duration kMinRelayAppendTimeout = 900ms;
+constexpr Duration kMinRelayAppendTimeout = 500ms;
 // Longest wait for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 300ms;
 // The agent acts only on a ledger younger than this: one poll and one slow
