--- a/tests/unit/dispatcher_test.cc
+++ b/tests/unit/dispatcher_test.cc
@@ -238,7 +238,8 @@
                                                  {.tasks = 6,
                                                   .need = {.accelerators = 8},
                                                   .estimate = 2s})});
-  const auto heartbeat = [&](int n, WorkerIncarnation heard, Duration ago) {
+  const auto heartbeat = [&](int n, const WorkerIncarnation& heard,
+                             Duration ago) {
     ledger.Apply(kNow, AgentHeartbeat{.agent = "a" + std::to_string(n),
                                       .process = "p2",
                                       .heard_worker = heard,
--- a/tests/unit/supervisor_test.cc
+++ b/tests/unit/supervisor_test.cc
@@ -213,6 +213,19 @@
     s.OnLedger(later, after, /*current=*/true);
     CHECK(s.TakeCommands(later).size() == 1);
   }
+
+  SECTION("is decided again when the process was paused before it was sent") {
+    s.OnLedger(now, after, /*current=*/true);
+    const std::vector<TaskCommand> commands = s.TakeCommands(now);
+    REQUIRE(commands.size() == 1);
+    const auto& start = std::get<StartCall>(commands[0]);
+    CHECK(start.send_before <= now + 500ms);
+    const Time later = now + 5s;
+    s.OnStartReply(later, start, {.kind = CommandReply::Kind::kStale});
+    s.OnAgentHeartbeatStored(later);
+    CHECK(s.TakeCommands(later).empty());
+    CHECK(RecordsOfType<StartRefused>(s.TakeRecords(later)).size() == 1);
+  }
 }
 
 }  // namespace
