--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -44,13 +44,15 @@
   if (!schedule_.MayTry(now)) {
     return false;
   }
-  // It was an earlier run of this process, or is this run and has stepped down.
-  if (planner_view.epoch > 0 &&
-      planner_view.planner_id.starts_with(options_.name + kRunSeparator)) {
-    return now > planner_view.last_heartbeat_at;
-  }
-  const Duration delay = schedule_.DelayOf(planner_view.epoch, entries);
-  if (planner_view.epoch > 0 && planner_view.planner_id.empty()) {
+  // There is no planner, or it was an earlier run of this process, or it is
+  // this run and has stepped down.
+  const bool was_self =
+      planner_view.planner_id.starts_with(options_.name + kRunSeparator);
+  const bool vacant =
+      planner_view.epoch > 0 && (planner_view.planner_id.empty() || was_self);
+  const Duration delay =
+      was_self ? Duration(0) : schedule_.DelayOf(planner_view.epoch, entries);
+  if (vacant) {
     return now - planner_view.last_heartbeat_at >
            delay + (is_draining ? options_.draining_delay : Duration(0));
   }
