--- a/tests/unit/relay_order_test.cc
+++ b/tests/unit/relay_order_test.cc
@@ -11,7 +11,7 @@
 
 std::vector<EntryStarted> Entries(int per_data_centre) {
   std::vector<EntryStarted> out;
-  out.reserve(static_cast<std::size_t>(5 * per_data_centre));
+  out.reserve(5 * static_cast<std::size_t>(per_data_centre));
   for (int n = 0; n < 5 * per_data_centre; ++n) {
     out.push_back({.entry = "edge-" + std::to_string(n),
                    .data_centre = "d" + std::to_string(n % 5),
