Log refused status queries, slow plans and preemptions; count the workers that a plan examines

Callers saw status queries without an answer and too little served; no line told that a query was refused, how long a plan took, or for which unit a run was stopped. Added: status_refused and status_slow (path, age of the ledger, time taken), plan_slow (time, age of the ledger, waiting units, usable and examined workers), decide_preempt (for whom, guaranteed or not, work lost), the time of each plan in the step histogram, and a benchmark of the dispatcher. No decision changes.

--- /dev/null
+++ b/bench/dispatch/dispatcher_benchmark.cc
@@ -0,0 +1,99 @@
+// Time of one plan of the dispatcher when every worker is full, by the number
+// of workers and of waiting units.
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "src/dispatch/dispatcher.h"
+
+namespace marjoramplank {
+namespace {
+
+constexpr Time kNow = 100s;
+constexpr int kWorkersPerRack = 12;
+constexpr std::int32_t kTasksPerSheet = 80;
+constexpr std::int32_t kTasksPerCheck = 8;
+
+WorkerIncarnation MakeIncarnation(int n) {
+  return {.id = "i-" + std::to_string(100'000 + n), .started_at_unix_ms = 1};
+}
+
+JobRequest MakeJob(int n, std::int32_t priority, const JobStep& step) {
+  return {.id = "job-" + std::to_string(100'000 + n),
+          .account = "account-" + std::to_string(n % 24),
+          .payload = "p",
+          .steps = {step},
+          .terms = {.queue = "q",
+                    .service = "s",
+                    .priority = priority,
+                    .max_attempts = 4,
+                    .stretch = 2,
+                    .target = 1s}};
+}
+
+// `workers` full workers, and `units` waiting units: wide jobs of single tasks,
+// and a gang of urgent tasks for every ten of them.
+Ledger FullCluster(int workers, int units) {
+  Ledger ledger;
+  ledger.Apply(kNow, PlannerElected{.entry = "e", .epoch = 1});
+  for (int n = 0; n < workers; ++n) {
+    const std::string rack = "r-" + std::to_string(n / kWorkersPerRack);
+    ledger.Apply(kNow, WorkerReported{.agent = "a-" + std::to_string(n),
+                                      .incarnation = MakeIncarnation(n),
+                                      .service = "s",
+                                      .data_centre = "d",
+                                      .rack = rack,
+                                      .labels = {"kind", rack},
+                                      .capacity = {.cpu_milli = 128'000,
+                                                   .memory_mb = 512'000,
+                                                   .accelerators = 8}});
+  }
+  int job = 0;
+  const JobStep sheet{
+      .tasks = kTasksPerSheet,
+      .need = {.cpu_milli = 11'000, .memory_mb = 32'000, .accelerators = 1},
+      .estimate = 7600ms};
+  const int running_sheets = workers * 8 / kTasksPerSheet;
+  for (int n = 0; n < running_sheets; ++n) {
+    ledger.Apply(kNow, JobSubmitted{.request = MakeJob(job++, 2, sheet)});
+  }
+  RulesView rules;
+  for (const LedgerRecord& r : Dispatcher({}).Plan(
+           {.now = kNow, .epoch = 1, .ledger = ledger, .rules = rules})) {
+    ledger.Apply(kNow, r);
+  }
+  for (int n = 0; n < units; n += kTasksPerSheet) {
+    ledger.Apply(kNow, JobSubmitted{.request = MakeJob(job++, 2, sheet)});
+    ledger.Apply(kNow,
+                 JobSubmitted{.request = MakeJob(job++, 0,
+                                                 {.tasks = kTasksPerCheck,
+                                                  .need = {.cpu_milli = 15'000,
+                                                           .memory_mb = 32'000,
+                                                           .accelerators = 2},
+                                                  .estimate = 2500ms,
+                                                  .gang = true})});
+  }
+  return ledger;
+}
+
+void BM_PlanWhenFull(benchmark::State& state) {
+  const Ledger ledger = FullCluster(static_cast<int>(state.range(0)),
+                                    static_cast<int>(state.range(1)));
+  const RulesView rules;
+  const Dispatcher dispatcher({});
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(dispatcher.Plan(
+        {.now = kNow + 2s, .epoch = 1, .ledger = ledger, .rules = rules}));
+  }
+}
+BENCHMARK(BM_PlanWhenFull)
+    ->Args({240, 500})
+    ->Args({240, 5'000})
+    ->Args({2'400, 5'000})
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace marjoramplank
+
+BENCHMARK_MAIN();
--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -40,10 +40,16 @@
   void Reserve(const WorkerIncarnation& incarnation,
                const TaskRef& task,
                const Resources& need);
+  // Searches call this with the number of workers that they examine.
+  void CountExamined(std::size_t workers) const {
+    examined_workers_ += static_cast<std::int64_t>(workers);
+  }
+  std::int64_t examined_workers() const { return examined_workers_; }
 
  private:
   std::map<WorkerIncarnation, WorkerCapacity> workers_;
   std::map<std::string, std::vector<WorkerIncarnation>> workers_by_rack_;
+  mutable std::int64_t examined_workers_ = 0;
 };
 
 }  // namespace marjoramplank
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -259,6 +259,12 @@
     if (victim.stop_requested || !stopped_units.insert(first).second) {
       continue;
     }
+    if (in.trace != nullptr) {
+      in.trace->preemptions.push_back({.for_unit = unit.first_task,
+                                       .is_guaranteed = unit.is_guaranteed,
+                                       .victim = first,
+                                       .lost_core_seconds = placement->cost});
+    }
     out.emplace_back(RunStopped{.epoch = in.epoch,
                                 .first = first,
                                 .run = victim.run,
@@ -281,7 +287,12 @@
   StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
   std::set<TaskRef> stopped_units;
-  for (const WaitingUnit& unit : SortedWaitingUnits(in)) {
+  const std::vector<WaitingUnit> waiting_units = SortedWaitingUnits(in);
+  if (in.trace != nullptr) {
+    in.trace->usable_workers = table.workers().size();
+    in.trace->waiting_units = waiting_units.size();
+  }
+  for (const WaitingUnit& unit : waiting_units) {
     if (const std::optional<UnitPlacement> placement =
             FindPlacementWithFallback(in, table, unit)) {
       out.emplace_back(MakeRunStarted(in, unit, *placement));
@@ -294,6 +305,9 @@
       Preempt(in, table, unit, stopped_units, out);
     }
   }
+  if (in.trace != nullptr) {
+    in.trace->examined_workers = table.examined_workers();
+  }
   return out;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,12 +45,29 @@
     Duration max_early_start{0};
   };
 
+  // A preemption of a plan: which unit displaces which run, and at what cost.
+  struct Preemption {
+    TaskRef for_unit;
+    bool is_guaranteed = false;    // `for_unit` is within its guarantee.
+    TaskRef victim;                // First task of the displaced unit.
+    double lost_core_seconds = 0;  // By all victims of `for_unit`.
+  };
+  // What a plan considered. For logs only; no decision depends on it.
+  struct Trace {
+    std::size_t usable_workers = 0;
+    std::size_t waiting_units = 0;
+    // Workers that were examined, counted once for each search.
+    std::int64_t examined_workers = 0;
+    std::vector<Preemption> preemptions;
+  };
+
   struct Input {
     Time now{0};
     std::int64_t unix_ms = 0;  // Best known time of day.
     std::int64_t epoch = 0;    // Epoch of the planner that makes the plan.
     const Ledger& ledger;
     const RulesView& rules;
+    Trace* trace = nullptr;  // Filled if set.
   };
 
   explicit Dispatcher(Options options) : options_(options) {}
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -71,6 +71,7 @@
     const WaitingUnit& unit,
     const PlacementOptions& options) {
   std::vector<Candidate> out;
+  table.CountExamined(workers.size());
   for (const WorkerIncarnation& incarnation : workers) {
     const WorkerCapacity& worker = table.workers().at(incarnation);
     if (!IsEligible(unit, worker, options)) {
@@ -191,6 +192,7 @@
 bool FitsInOneRack(const CapacityTable& table, const WaitingUnit& unit) {
   for (const auto& [rack, workers] : table.workers_by_rack()) {
     std::int64_t fitting_members = 0;
+    table.CountExamined(workers.size());
     for (const WorkerIncarnation& incarnation : workers) {
       const WorkerCapacity& worker = table.workers().at(incarnation);
       fitting_members +=
@@ -208,6 +210,7 @@
   if (rack == table.workers_by_rack().end()) {
     return false;
   }
+  table.CountExamined(rack->second.size());
   return std::any_of(
       rack->second.begin(), rack->second.end(),
       [&](const WorkerIncarnation& incarnation) {
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -122,6 +122,7 @@
     const std::vector<WorkerIncarnation>& workers,
     const WaitingUnit& unit) {
   std::vector<PreemptionOption> options;
+  table.CountExamined(workers.size());
   for (const WorkerIncarnation& incarnation : workers) {
     const WorkerCapacity& worker = table.workers().at(incarnation);
     if (worker.is_quarantined) {
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -30,6 +30,9 @@
 constexpr Duration kMaxLedgerAge = 1200ms;
 constexpr Duration kMaxRulesAge = 1500ms;
 
+// A plan that takes longer is logged: orders wait for it.
+constexpr Duration kSlowPlan = 50ms;
+
 // Longest wait for the resignation and for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 700ms;
 constexpr Duration kShutdownPollInterval = 10ms;
@@ -248,6 +251,27 @@
   }
 }
 
+void EntryNode::LogPlan(const Dispatcher::Trace& trace,
+                        Duration took,
+                        Duration ledger_age) {
+  metrics_.Observe(Latency::kStep, ToSeconds(took));
+  if (took > kSlowPlan) {
+    LogEvent("plan_slow")
+        .With("took_ms", took.count())
+        .With("ledger_age_ms", ledger_age.count())
+        .With("waiting_units", trace.waiting_units)
+        .With("usable_workers", trace.usable_workers)
+        .With("examined_workers", trace.examined_workers);
+  }
+  for (const Dispatcher::Preemption& p : trace.preemptions) {
+    LogEvent("decide_preempt")
+        .With("for", ToString(p.for_unit))
+        .With("guaranteed", p.is_guaranteed)
+        .With("victim", ToString(p.victim))
+        .With("lost_core_s", static_cast<std::int64_t>(p.lost_core_seconds));
+  }
+}
+
 void EntryNode::PlanOnce(Time now, std::int64_t epoch) {
   std::vector<LedgerRecord> records;
   if (now - last_heartbeat_at_ >= options_.planner_heartbeat_interval) {
@@ -256,15 +280,17 @@
         PlannerElected{.entry = leadership_.id(), .epoch = epoch});
   }
   const auto rules = rules_.view();
-  std::int64_t position = 0;
+  Dispatcher::Trace trace;
   ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-    position = view.position;
+    const Time started_at = BootClockNow();
     std::vector<LedgerRecord> plan =
         dispatcher_.Plan({.now = now,
                           .unix_ms = SteadyUnixMs(),
                           .epoch = ledger.planner_epoch(),
                           .ledger = ledger,
-                          .rules = *rules});
+                          .rules = *rules,
+                          .trace = &trace});
+    LogPlan(trace, BootClockNow() - started_at, now - view.as_of);
     LogDecisions(plan, view.position);
     records.insert(records.end(), plan.begin(), plan.end());
   });
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -87,6 +87,9 @@
                  const LedgerRecord& record,
                  std::int64_t offset);
   void UpdateJobGauges();
+  void LogPlan(const Dispatcher::Trace& trace,
+               Duration took,
+               Duration ledger_age);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position);
 
--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// A status query that takes longer is logged: it needs no call to the log.
+constexpr Duration kSlowStatus = 100ms;
+
 const char* ToString(LedgerWriter::Outcome outcome) {
   switch (outcome) {
     case LedgerWriter::Outcome::kStored:
@@ -157,15 +160,32 @@
 ClientResponse JobService::GetStatus(const ClientRequest& call) const {
   const Admission admission = Admit(call);
   if (admission.rejection.kind != ClientResponse::Kind::kOk) {
+    LogEvent("status_refused")
+        .With("path", call.path)
+        .With("reason", admission.rejection.reason);
     return admission.rejection;
   }
   return ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-    const Duration age = BootClockNow() - view.as_of;
+    const Time now = BootClockNow();
+    const Duration age = now - view.as_of;
     if (!view.loaded || age > options_.max_ledger_age) {
+      LogEvent("status_refused")
+          .With("path", call.path)
+          .With("reason", "the ledger is not current")
+          .With("loaded", view.loaded)
+          .With("position", view.position)
+          .With("age_ms", age.count())
+          .With("took_ms", (now - call.received_at).count());
       return RejectWithRetry("the ledger was last confirmed " +
                                  std::to_string(age.count()) + " ms ago",
                              options_.retry_after_outage);
     }
+    if (now - call.received_at > kSlowStatus) {
+      LogEvent("status_slow")
+          .With("path", call.path)
+          .With("age_ms", age.count())
+          .With("took_ms", (now - call.received_at).count());
+    }
     if (admission.job.empty()) {
       return ClientResponse{
           .waiting_jobs = ledger.QueuedJobCount(admission.queue.terms.queue)};
