Dispatcher: the work of a plan grows with steps, not with waiting tasks

Cause: each waiting task was searched for on its own, four times over all workers, though the tasks of a step are alike; each preemption listed and copied the runs of all workers again. Class: work that grows with the product of two loads, in the loop that also keeps the leadership alive.

Change: a step of which a unit could not be placed is not searched again in the same plan, which only takes capacity; searches that cannot differ are left out; the victims of a worker are listed once a plan.

--- a/src/dispatch/capacity_table.cc
+++ b/src/dispatch/capacity_table.cc
@@ -4,8 +4,10 @@
 
 void CapacityTable::Add(const WorkerIncarnation& incarnation,
                         const WorkerCapacity& worker) {
-  workers_[incarnation] = worker;
-  workers_by_rack_[worker.entry->report.rack].push_back(incarnation);
+  const WorkerCapacity& stored =
+      workers_.insert_or_assign(incarnation, worker).first->second;
+  worker_list_.push_back(&stored);
+  workers_by_rack_[worker.entry->report.rack].push_back(&stored);
 }
 
 WorkerCapacity* CapacityTable::Find(const WorkerIncarnation& incarnation) {
--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -26,14 +26,23 @@
 // Free capacity of every worker that may be given work.
 class CapacityTable {
  public:
+  CapacityTable() = default;
+  CapacityTable(CapacityTable&&) = default;
+  CapacityTable& operator=(CapacityTable&&) = default;
+  // A copy would point at the workers of the original.
+  CapacityTable(const CapacityTable&) = delete;
+  CapacityTable& operator=(const CapacityTable&) = delete;
+
   void Add(const WorkerIncarnation& incarnation, const WorkerCapacity& worker);
   // Nullptr: not in the table.
   WorkerCapacity* Find(const WorkerIncarnation& incarnation);
-  const std::map<WorkerIncarnation, WorkerCapacity>& workers() const {
-    return workers_;
+  // Both in the order in which the workers were added. The pointers stay valid
+  // as long as the table.
+  const std::vector<const WorkerCapacity*>& workers() const {
+    return worker_list_;
   }
-  const std::map<std::string, std::vector<WorkerIncarnation>>& workers_by_rack()
-      const {
+  const std::map<std::string, std::vector<const WorkerCapacity*>>&
+  workers_by_rack() const {
     return workers_by_rack_;
   }
   // Reserves capacity for a task of the same step as `task`.
@@ -48,7 +57,8 @@
 
  private:
   std::map<WorkerIncarnation, WorkerCapacity> workers_;
-  std::map<std::string, std::vector<WorkerIncarnation>> workers_by_rack_;
+  std::vector<const WorkerCapacity*> worker_list_;
+  std::map<std::string, std::vector<const WorkerCapacity*>> workers_by_rack_;
   mutable std::int64_t examined_workers_ = 0;
 };
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,7 +4,6 @@
 #include <tuple>
 
 #include "src/dispatch/deadline.h"
-#include "src/dispatch/preemption.h"
 
 namespace marjoramplank {
 
@@ -152,10 +151,11 @@
   for (WaitingUnit& unit : out) {
     unit.is_guaranteed = guaranteed_jobs.contains(unit.first_task.job);
   }
+  using Rank = std::tuple<bool, std::int32_t, DeadlineOutlook, Time,
+                          std::int64_t, const TaskRef&>;
   const auto rank = [](const WaitingUnit& u) {
-    return std::tuple(!u.is_guaranteed, u.job->request.terms.priority,
-                      u.outlook, u.deadline, u.job->sequence_number,
-                      u.first_task);
+    return Rank(!u.is_guaranteed, u.job->request.terms.priority, u.outlook,
+                u.deadline, u.job->sequence_number, u.first_task);
   };
   std::sort(out.begin(), out.end(),
             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
@@ -211,9 +211,14 @@
   const bool waits_for_rack =
       has_preferred_rack && static_cast<double>(waited.count()) <
                                 options_.locality_wait_fraction * estimate;
+  const bool has_rack_preference =
+      is_same_rack_gang || !unit.step->data_rack.empty();
   for (const bool allow_failed_worker : {false, true}) {
+    if (allow_failed_worker && unit.unit->failed_on_workers.empty()) {
+      break;  // No worker is excluded, so the result is the same.
+    }
     for (const bool allow_any_rack : {false, true}) {
-      if (allow_any_rack && waits_for_rack) {
+      if (allow_any_rack ? waits_for_rack : !has_rack_preference) {
         continue;
       }
       std::optional<UnitPlacement> placement =
@@ -230,16 +235,17 @@
 
 bool Dispatcher::Preempt(const Input& in,
                          CapacityTable& table,
+                         PreemptionSearch& search,
                          const WaitingUnit& unit,
                          std::set<TaskRef>& stopped_units,
                          std::vector<LedgerRecord>& out) const {
   const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
   std::optional<UnitPlacement> placement;
   if (is_same_rack_gang) {
-    placement = FindPreemption(in.now, in.ledger, table, unit, false);
+    placement = search.Find(unit, /*allow_any_rack=*/false);
   }
   if (!placement) {
-    placement = FindPreemption(in.now, in.ledger, table, unit, true);
+    placement = search.Find(unit, /*allow_any_rack=*/true);
   }
   if (!placement ||
       (!unit.is_guaranteed &&
@@ -292,7 +298,15 @@
     in.trace->usable_workers = table.workers().size();
     in.trace->waiting_units = waiting_units.size();
   }
+  PreemptionSearch search(in.now, in.ledger, table);
+  // Steps of which a unit could not be placed. A plan only takes capacity, so
+  // their other units cannot be placed either.
+  std::set<TaskRef> unplaceable_steps;
   for (const WaitingUnit& unit : waiting_units) {
+    const TaskRef step = FirstTaskOfStep(unit.first_task);
+    if (unplaceable_steps.contains(step)) {
+      continue;
+    }
     if (const std::optional<UnitPlacement> placement =
             FindPlacementWithFallback(in, table, unit)) {
       out.emplace_back(MakeRunStarted(in, unit, *placement));
@@ -301,8 +315,10 @@
       }
       continue;
     }
-    if (unit.is_guaranteed || unit.job->request.terms.priority == 0) {
-      Preempt(in, table, unit, stopped_units, out);
+    const bool may_preempt =
+        unit.is_guaranteed || unit.job->request.terms.priority == 0;
+    if (!may_preempt || !Preempt(in, table, search, unit, stopped_units, out)) {
+      unplaceable_steps.insert(step);
     }
   }
   if (in.trace != nullptr) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/dispatch/placement.h"
+#include "src/dispatch/preemption.h"
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
 #include "src/rules/rules.h"
@@ -96,6 +97,7 @@
   // the units that this plan stops. Returns false if nothing may be preempted.
   bool Preempt(const Input& in,
                CapacityTable& table,
+               PreemptionSearch& search,
                const WaitingUnit& unit,
                std::set<TaskRef>& stopped_units,
                std::vector<LedgerRecord>& out) const;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -36,6 +36,10 @@
   return count;
 }
 
+const WorkerIncarnation& Id(const WorkerCapacity& worker) {
+  return worker.entry->report.incarnation;
+}
+
 bool HasLabel(const LedgerWorker& entry, const std::string& label) {
   const std::vector<std::string>& labels = entry.report.labels;
   return label.empty() ||
@@ -57,43 +61,43 @@
          entry.report.rack == unit.step->data_rack;
 }
 
+using WorkerList = std::vector<const WorkerCapacity*>;
+
 struct Candidate {
-  WorkerIncarnation incarnation;
+  const WorkerCapacity* worker = nullptr;
   std::int32_t fitting_members = 0;
   // Free capacity before the placement, as one number to sort by: accelerators
   // first, then processors.
   std::int64_t free_score = 0;
 };
 
-std::vector<Candidate> FindCandidates(
-    const CapacityTable& table,
-    const std::vector<WorkerIncarnation>& workers,
-    const WaitingUnit& unit,
-    const PlacementOptions& options) {
+std::vector<Candidate> FindCandidates(const CapacityTable& table,
+                                      const WorkerList& workers,
+                                      const WaitingUnit& unit,
+                                      const PlacementOptions& options) {
   std::vector<Candidate> out;
   table.CountExamined(workers.size());
-  for (const WorkerIncarnation& incarnation : workers) {
-    const WorkerCapacity& worker = table.workers().at(incarnation);
-    if (!IsEligible(unit, worker, options)) {
+  for (const WorkerCapacity* worker : workers) {
+    if (!IsEligible(unit, *worker, options)) {
       continue;
     }
     const std::int32_t fitting_members =
-        MembersThatFit(unit, worker, worker.free);
+        MembersThatFit(unit, *worker, worker->free);
     if (fitting_members > 0) {
       // One accelerator outweighs the processors of any worker below 1,000
       // cores.
       constexpr std::int64_t kAcceleratorWeight = 1'000'000;
       out.push_back(
-          {.incarnation = incarnation,
+          {.worker = worker,
            .fitting_members = fitting_members,
-           .free_score = worker.free.accelerators * kAcceleratorWeight +
-                         worker.free.cpu_milli});
+           .free_score = worker->free.accelerators * kAcceleratorWeight +
+                         worker->free.cpu_milli});
     }
   }
   // Best fit: the worker with the least free capacity goes first.
   std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
     return a.free_score != b.free_score ? a.free_score < b.free_score
-                                        : a.incarnation < b.incarnation;
+                                        : Id(*a.worker) < Id(*b.worker);
   });
   return out;
 }
@@ -110,7 +114,7 @@
         return placement;
       }
       placement.members.push_back(
-          {.index = index++, .incarnation = candidate.incarnation});
+          {.index = index++, .incarnation = Id(*candidate.worker)});
     }
   }
   return static_cast<std::int32_t>(placement.members.size()) ==
@@ -119,11 +123,10 @@
              : std::nullopt;
 }
 
-std::int64_t FreeAccelerators(const CapacityTable& table,
-                              const std::vector<WorkerIncarnation>& workers) {
+std::int64_t FreeAccelerators(const WorkerList& workers) {
   std::int64_t count = 0;
-  for (const WorkerIncarnation& incarnation : workers) {
-    count += table.workers().at(incarnation).free.accelerators;
+  for (const WorkerCapacity* worker : workers) {
+    count += worker->free.accelerators;
   }
   return count;
 }
@@ -137,7 +140,7 @@
   for (const auto& [rack, workers] : table.workers_by_rack()) {
     std::optional<UnitPlacement> placement =
         AssignMembers(FindCandidates(table, workers, unit, options), unit);
-    const std::int64_t free = FreeAccelerators(table, workers);
+    const std::int64_t free = FreeAccelerators(workers);
     if (placement && free < best_free) {
       best = std::move(placement);
       best_free = free;
@@ -181,22 +184,17 @@
       return std::nullopt;
     }
   }
-  std::vector<WorkerIncarnation> all_workers;
-  all_workers.reserve(table.workers().size());
-  for (const auto& [incarnation, worker] : table.workers()) {
-    all_workers.push_back(incarnation);
-  }
-  return AssignMembers(FindCandidates(table, all_workers, unit, options), unit);
+  return AssignMembers(FindCandidates(table, table.workers(), unit, options),
+                       unit);
 }
 
 bool FitsInOneRack(const CapacityTable& table, const WaitingUnit& unit) {
   for (const auto& [rack, workers] : table.workers_by_rack()) {
     std::int64_t fitting_members = 0;
     table.CountExamined(workers.size());
-    for (const WorkerIncarnation& incarnation : workers) {
-      const WorkerCapacity& worker = table.workers().at(incarnation);
+    for (const WorkerCapacity* worker : workers) {
       fitting_members +=
-          MembersThatFit(unit, worker, worker.entry->report.capacity);
+          MembersThatFit(unit, *worker, worker->entry->report.capacity);
     }
     if (fitting_members >= unit.member_count) {
       return true;
@@ -211,13 +209,13 @@
     return false;
   }
   table.CountExamined(rack->second.size());
-  return std::any_of(
-      rack->second.begin(), rack->second.end(),
-      [&](const WorkerIncarnation& incarnation) {
-        const WorkerCapacity& worker = table.workers().at(incarnation);
-        return !worker.is_quarantined &&
-               MembersThatFit(unit, worker, worker.entry->report.capacity) > 0;
-      });
+  return std::any_of(rack->second.begin(), rack->second.end(),
+                     [&](const WorkerCapacity* worker) {
+                       return !worker->is_quarantined &&
+                              MembersThatFit(unit, *worker,
+                                             worker->entry->report.capacity) >
+                                  0;
+                     });
 }
 
 }  // namespace marjoramplank
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -1,19 +1,63 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "src/dispatch/placement.h"
 
 namespace marjoramplank {
 
-// Selects preemption victims with little lost work, so that the unit fits.
-// Tasks that are stopping already cost nothing. Empty: the unit does not fit
-// even with every preemptible task of a lower priority gone.
-std::optional<UnitPlacement> FindPreemption(Time now,
-                                            const Ledger& ledger,
-                                            const CapacityTable& table,
-                                            const WaitingUnit& unit,
-                                            bool allow_any_rack);
+// Selects preemption victims with little lost work. Used for one plan: what it
+// has learned of a worker's runs is used again for later units.
+class PreemptionSearch {
+ public:
+  // All three must outlive the search. The runs in the ledger must not change.
+  PreemptionSearch(Time now, const Ledger& ledger, const CapacityTable& table)
+      : now_(now), ledger_(ledger), table_(table) {}
+
+  // Finds victims so that the unit fits. Tasks that are stopping already cost
+  // nothing. Empty: the unit does not fit even with every preemptible task of a
+  // lower priority gone.
+  std::optional<UnitPlacement> Find(const WaitingUnit& unit,
+                                    bool allow_any_rack);
+
+ private:
+  struct Victim {
+    TaskRef task;
+    Resources need;
+    double cost = 0;
+  };
+  // Preemptible runs of a worker by ascending cost.
+  struct VictimList {
+    std::vector<Victim> victims;
+    Resources total;  // Of all victims.
+  };
+  struct Option;
+  using WorkerList = std::vector<const WorkerCapacity*>;
+
+  const VictimList& VictimsOn(const WorkerCapacity& worker,
+                              std::int32_t priority);
+  VictimList ListVictims(const LedgerWorker& entry,
+                         std::int32_t priority) const;
+  Option FindOnWorker(const WorkerCapacity& worker,
+                      const WaitingUnit& unit,
+                      std::int32_t wanted_members);
+  std::optional<UnitPlacement> FindOnWorkers(const WorkerList& workers,
+                                             const WaitingUnit& unit);
+  static void PruneVictims(const WaitingUnit& unit,
+                           const WorkerCapacity& worker,
+                           Resources free,
+                           std::int32_t fitting_members,
+                           std::vector<const Victim*>& victims);
+
+  const Time now_;
+  const Ledger& ledger_;
+  const CapacityTable& table_;
+  // By worker and priority of the preempting unit.
+  std::map<std::pair<const WorkerCapacity*, std::int32_t>, VictimList> victims_;
+};
 
 // Work lost if the run is stopped now, core-seconds.
 double LostWork(Time now,
