--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -23,6 +23,8 @@
 constexpr Duration kMinRelayAppendTimeout = 500ms;
 // Longest wait for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 300ms;
+// Longest delay before a failed read of a snapshot is repeated.
+constexpr Duration kMaxRestoreRetryDelay = 1500ms;
 // The agent acts only on a ledger younger than this: one poll and one slow
 // answer.
 constexpr Duration kMaxLedgerAge = 1200ms;
@@ -103,7 +105,9 @@
                      const StoreFactory& open_store,
                      const EndpointFactory& open_endpoint)
     : options_(std::move(options)),
-      ledger_({.records = options_.records, .snapshots = options_.snapshots},
+      ledger_({.records = options_.records,
+               .snapshots = options_.snapshots,
+               .restore_retry = {.max_delay = kMaxRestoreRetryDelay}},
               OpenRelayed(open_store),
               OpenRelayed(open_store),
               metrics_),
--- a/src/node/rules_follower.cc
+++ b/src/node/rules_follower.cc
@@ -14,8 +14,8 @@
 
 // Time beyond the poll wait within which a read must be answered.
 constexpr Duration kReadTimeoutSlack = 700ms;
-constexpr Duration kReloadTimeout = 2s;  // For all pages.
-constexpr Duration kRetryDelay = 60ms;   // After a failed read.
+// Delay after a failed read of records; the next one may use another route.
+constexpr Duration kRetryDelay = 60ms;
 
 }  // namespace
 
@@ -78,8 +78,11 @@
 bool RulesFollower::Reload() {
   const Time sent_at = BootClockNow();
   const LatestResult newest =
-      store_->ReadLatest(options_.partition, kReloadTimeout);
+      store_->ReadLatest(options_.partition, kBulkReadTimeout);
   if (!newest.ok) {
+    LogEvent("rules_unread")
+        .With("reason", newest.reason)
+        .With("took_ms", (BootClockNow() - sent_at).count());
     return false;
   }
   std::set<std::string> present_keys;
@@ -105,8 +108,10 @@
 void RulesFollower::Loop() {
   while (!stop_requested_) {
     if (position_ < 0) {
-      if (!Reload()) {
-        std::this_thread::sleep_for(kRetryDelay);
+      if (Reload()) {
+        reload_retry_.OnSuccess();
+      } else {
+        std::this_thread::sleep_for(reload_retry_.OnFailure());
       }
       continue;
     }
--- a/src/node/rules_follower.h
+++ b/src/node/rules_follower.h
@@ -13,6 +13,7 @@
 #include "src/rules/rules.h"
 #include "src/store/log_store.h"
 #include "src/store/record_ring.h"
+#include "src/store/retry_backoff.h"
 
 namespace marjoramplank {
 
@@ -52,6 +53,7 @@
   std::int64_t position_ = -1;  // Next offset. -1: all keys must be reloaded.
   RecordRing ring_;
   RcuValue<std::shared_ptr<const RulesView>> view_;
+  RetryBackoff reload_retry_{{}};  // Used by the follower's thread only.
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
 };
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -20,7 +20,7 @@
 constexpr Duration kCatchUpDelay = 60ms;
 constexpr Duration kCatchUpTimeout = 500ms;  // Of a read on the second one.
 constexpr Duration kIdleWait = 500ms;
-// Delay after a failed read.
+// Delay after a failed read of records; the next one may use another route.
 constexpr Duration kRetryDelay = 60ms;
 // After a gap, the process waits this long for a snapshot of another process
 // that has read further, before it publishes its own state.
@@ -35,7 +35,8 @@
     : options_(std::move(options)),
       store_(std::move(store)),
       catch_up_store_(std::move(catch_up_store)),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      restore_retry_(options_.restore_retry) {}
 
 LedgerFollower::~LedgerFollower() {
   {
@@ -100,8 +101,13 @@
 bool LedgerFollower::Restore(std::int64_t min_position) {
   const Time now = BootClockNow();
   SnapshotLookup lookup = ReadSnapshot(*store_, options_.snapshots, now);
-  if (!lookup.store_answered ||
-      (lookup.snapshot && lookup.snapshot->position < min_position) ||
+  if (!lookup.store_answered) {
+    LogEvent("snapshot_unread")
+        .With("reason", lookup.reason)
+        .With("took_ms", (BootClockNow() - now).count());
+    return false;
+  }
+  if ((lookup.snapshot && lookup.snapshot->position < min_position) ||
       (!lookup.snapshot && min_position > 0)) {
     return false;
   }
@@ -132,6 +138,7 @@
         .With("first_kept", first_retained);
   }
   if (Restore(first_retained)) {
+    restore_retry_.OnSuccess();
     gap_since_ = Time{0};
     if (on_gap_) {
       on_gap_();
@@ -150,7 +157,19 @@
           .With("position", first_retained);
     }
   }
-  std::this_thread::sleep_for(kRetryDelay);
+  WaitToRestore();
+}
+
+void LedgerFollower::WaitToRestore() {
+  std::unique_lock lock(change_mutex_);
+  change_condition_.wait_for(lock, restore_retry_.OnFailure(),
+                             [this] { return stop_requested_.load(); });
+}
+
+Duration LedgerFollower::ReadTimeout() const {
+  // The first reads return all that was appended since the snapshot.
+  return view().as_of == Time{0} ? kBulkReadTimeout
+                                 : options_.poll_wait + kReadTimeoutSlack;
 }
 
 void LedgerFollower::ApplyRecords(const ReadResult& read, Time sent_at) {
@@ -209,14 +228,17 @@
 void LedgerFollower::Loop() {
   bool is_readable = false;
   while (!stop_requested_) {
-    if (!view().loaded && !Restore(0)) {
-      std::this_thread::sleep_for(kRetryDelay);
+    if (!view().loaded) {
+      if (Restore(0)) {
+        restore_retry_.OnSuccess();
+      } else {
+        WaitToRestore();
+      }
       continue;
     }
     const Time sent_at = BootClockNow();
-    const ReadResult read =
-        store_->Read(options_.records, view().position, options_.poll_wait,
-                     options_.poll_wait + kReadTimeoutSlack);
+    const ReadResult read = store_->Read(options_.records, view().position,
+                                         options_.poll_wait, ReadTimeout());
     if (read.kind == ReadResult::Kind::kTruncated) {
       HandleGap(read.first_offset);
       continue;
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -14,6 +14,7 @@
 #include "src/observability/metrics.h"
 #include "src/store/log_store.h"
 #include "src/store/record_ring.h"
+#include "src/store/retry_backoff.h"
 
 namespace marjoramplank {
 
@@ -36,6 +37,9 @@
     // True: if the log has deleted records that no snapshot covers, publishes
     // its own state as the snapshot from which all processes continue.
     bool adopt_state_after_gap = false;
+    // Between failed reads of a snapshot. Agents wait longer: they outnumber
+    // the entries, which they need.
+    RetryBackoff::Options restore_retry;
   };
 
   // `catch_up_store` reads records that the first connection does not deliver
@@ -79,6 +83,8 @@
  private:
   void Loop();
   bool Restore(std::int64_t min_position);
+  void WaitToRestore();
+  Duration ReadTimeout() const;
   void HandleGap(std::int64_t first_retained);
   void ApplyRecords(const ReadResult& read, Time sent_at);
   void PauseUntilNextRead(Time sent_at);
@@ -99,7 +105,8 @@
   std::uint64_t version_ = 0;
   std::int64_t expected_end_ = 0;  // Guarded by change_mutex_.
   RecordRing ring_;
-  Time gap_since_{0};  // When deleted records were noticed. 0: no gap.
+  RetryBackoff restore_retry_;  // Used by the follower's thread only.
+  Time gap_since_{0};           // When deleted records were noticed. 0: no gap.
   std::atomic<Duration> read_interval_{Duration(0)};
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
--- a/src/store/snapshot_store.cc
+++ b/src/store/snapshot_store.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/node/event_log.h"
+#include "src/store/retry_backoff.h"
 
 namespace marjoramplank {
 
@@ -16,7 +17,7 @@
 
 constexpr std::size_t kMaxPartBytes = 192 * 1024;  // Records: up to 256 KiB.
 constexpr std::size_t kMaxPartsPerCall = 8;        // Calls: up to 2 MiB.
-constexpr Duration kStoreCallTimeout = 2s;
+constexpr Duration kWriteTimeout = 2s;
 
 struct Manifest {
   std::int64_t position = -1;
@@ -74,7 +75,7 @@
     records.push_back(
         EncodeKeyed(PartKey(slot, parts++), bytes.substr(at, kMaxPartBytes)));
     if (records.size() == kMaxPartsPerCall) {
-      if (store.Append(to, records, {}, kStoreCallTimeout).kind !=
+      if (store.Append(to, records, {}, kWriteTimeout).kind !=
           AppendResult::Kind::kStored) {
         return false;
       }
@@ -85,16 +86,16 @@
       .position = position, .parts = parts, .checksum = Checksum(bytes)};
   records.push_back(
       EncodeKeyed(std::string(1, slot), FormatManifest(manifest)));
-  return store.Append(to, records, {}, kStoreCallTimeout).kind ==
+  return store.Append(to, records, {}, kWriteTimeout).kind ==
          AppendResult::Kind::kStored;
 }
 
 SnapshotLookup ReadSnapshot(LogStore& store,
                             const LogPartition& from,
                             Time now) {
-  const LatestResult newest = store.ReadLatest(from, kStoreCallTimeout);
+  const LatestResult newest = store.ReadLatest(from, kBulkReadTimeout);
   if (!newest.ok) {
-    return {};
+    return {.reason = newest.reason};
   }
   std::map<std::string, std::string> values;
   for (const KeyedRecord& r : newest.records) {
--- a/src/store/snapshot_store.h
+++ b/src/store/snapshot_store.h
@@ -21,6 +21,7 @@
 struct SnapshotLookup {
   bool store_answered = false;  // False: the log service could not be read.
   std::optional<LedgerSnapshot::Restored> snapshot;
+  std::string reason;  // For the event log, if it could not be read.
 };
 
 // Reads the newest complete snapshot.
--- a/tests/unit/ledger_follower_test.cc
+++ b/tests/unit/ledger_follower_test.cc
@@ -96,5 +96,70 @@
   CHECK(options.follower_read_interval(1000) == 40ms);
 }
 
+// Refuses to be read and remembers the timeouts of the calls.
+class RefusingStore final : public LogStore {
+ public:
+  struct Calls {
+    std::atomic<Duration> shortest_restore{Duration(1h)};
+    std::atomic<Duration> first_read{Duration(0)};
+    std::atomic<int> restores{0};
+  };
+  RefusingStore(Calls& calls, int refusals)
+      : calls_(calls), refusals_(refusals) {}
+
+  AppendResult Append(const LogPartition&,
+                      const std::vector<std::string>&,
+                      const ProducerStamp&,
+                      Duration) override {
+    return {};
+  }
+  ReadResult Read(const LogPartition&,
+                  std::int64_t offset,
+                  Duration,
+                  Duration timeout) override {
+    if (calls_.first_read.load() == Duration(0)) {
+      calls_.first_read = timeout;
+    }
+    std::this_thread::sleep_for(2ms);
+    return {.kind = ReadResult::Kind::kOk, .end_offset = offset};
+  }
+  LatestResult ReadLatest(const LogPartition&, Duration timeout) override {
+    calls_.shortest_restore = std::min(calls_.shortest_restore.load(), timeout);
+    return {.ok = ++calls_.restores > refusals_, .reason = "status 503"};
+  }
+
+ private:
+  Calls& calls_;
+  const int refusals_;
+};
+
+// Guards against restarts that time out on a busy log service just before its
+// answer comes, again and again.
+TEST_CASE("ledger follower: a busy log service at the start",
+          "[ledger_follower]") {
+  constexpr Duration kLongestQueue = 2s;  // Longer waits are refused.
+  constexpr int kRefusals = 3;
+  Metrics metrics;
+  RefusingStore::Calls calls;
+  LedgerFollower follower(
+      {.records = {.topic = "t"}, .snapshots = {.topic = "s"}},
+      std::make_unique<RefusingStore>(calls, kRefusals),
+      std::make_unique<RefusingStore>(calls, 0), metrics);
+  follower.Start();
+  follower.WaitForChange(0, 5s);  // The snapshot is restored.
+  while (calls.first_read.load() == Duration(0)) {
+    std::this_thread::sleep_for(1ms);
+  }
+
+  SECTION("refused restores are repeated until one succeeds") {
+    CHECK(calls.restores == kRefusals + 1);
+    CHECK(follower.view().loaded);
+  }
+  SECTION("the answer may take longer than the longest queue") {
+    CHECK(calls.shortest_restore.load() > kLongestQueue);
+    CHECK(calls.first_read.load() > kLongestQueue);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
