--- a/bench/dispatch/dispatcher_benchmark.cc
+++ b/bench/dispatch/dispatcher_benchmark.cc
@@ -77,7 +77,7 @@
   return ledger;
 }
 
-void BM_PlanWhenFull(benchmark::State& state) {
+void PlanWhenFull(benchmark::State& state) {
   const Ledger ledger = FullCluster(static_cast<int>(state.range(0)),
                                     static_cast<int>(state.range(1)));
   const RulesView rules;
@@ -87,7 +87,7 @@
         {.now = kNow + 2s, .epoch = 1, .ledger = ledger, .rules = rules}));
   }
 }
-BENCHMARK(BM_PlanWhenFull)
+BENCHMARK(PlanWhenFull)
     ->Args({240, 500})
     ->Args({240, 5'000})
     ->Args({2'400, 5'000})
--- a/tests/unit/restore_storm_test.cc
+++ b/tests/unit/restore_storm_test.cc
@@ -86,6 +86,7 @@
   SECTION("with backoff and a longer timeout all are back within the bound") {
     for (std::uint_fast32_t seed = 1; seed <= 20; ++seed) {
       std::vector<RetryBackoff> backoffs;
+      backoffs.reserve(kProcesses);
       for (int n = 0; n < kProcesses; ++n) {
         backoffs.emplace_back(RetryBackoff::Options{},
                               seed * 1000 + static_cast<unsigned>(n));
