Adopt the own state after a gap only when the log service says that nothing covers it

Change: Restore returns which of the two it was; an entry adopts its state only after the answer that none covers, and the 600 ms for other processes count from the first such answer.

Evidence: "ledger follower: adoption of its own state after a gap" with a store that refuses restores for 1.5 s after a truncation.

--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -22,8 +22,9 @@
 constexpr Duration kIdleWait = 500ms;
 // Delay after a failed read of records; the next one may use another route.
 constexpr Duration kRetryDelay = 60ms;
-// After a gap, the process waits this long for a snapshot of another process
-// that has read further, before it publishes its own state.
+// After the answer that no snapshot covers a gap, the process waits this long
+// for a snapshot of another process that has read further, before it publishes
+// its own state.
 constexpr Duration kAdoptDelay = 600ms;
 
 }  // namespace
@@ -98,18 +99,19 @@
   change_condition_.notify_all();
 }
 
-bool LedgerFollower::Restore(std::int64_t min_position) {
+LedgerFollower::RestoreResult LedgerFollower::Restore(
+    std::int64_t min_position) {
   const Time now = BootClockNow();
   SnapshotLookup lookup = ReadSnapshot(*store_, options_.snapshots, now);
   if (!lookup.store_answered) {
     LogEvent("snapshot_unread")
         .With("reason", lookup.reason)
         .With("took_ms", (BootClockNow() - now).count());
-    return false;
+    return RestoreResult::kUnanswered;
   }
   if ((lookup.snapshot && lookup.snapshot->position < min_position) ||
       (!lookup.snapshot && min_position > 0)) {
-    return false;
+    return RestoreResult::kNoneCovers;
   }
   std::int64_t position = 0;
   {
@@ -126,40 +128,54 @@
       .With("position", position)
       .With("from_snapshot", lookup.snapshot.has_value());
   NotifyChange();
-  return true;
+  return RestoreResult::kRestored;
 }
 
 void LedgerFollower::HandleGap(std::int64_t first_retained) {
-  const Time now = BootClockNow();
-  if (gap_since_ == Time{0}) {
-    gap_since_ = now;
+  if (!is_in_gap_) {
+    is_in_gap_ = true;
+    uncovered_since_ = Time{0};
     LogEvent("log_forgotten")
         .With("position", view().position)
         .With("first_kept", first_retained);
   }
-  if (Restore(first_retained)) {
+  const RestoreResult result = Restore(first_retained);
+  if (result == RestoreResult::kRestored) {
     restore_retry_.OnSuccess();
-    gap_since_ = Time{0};
+    is_in_gap_ = false;
     if (on_gap_) {
       on_gap_();
     }
     return;
   }
-  if (options_.adopt_state_after_gap && now - gap_since_ > kAdoptDelay) {
-    const auto [bytes, read_to] =
-        Read([&](const Ledger& ledger, const LedgerView& view) {
-          return std::pair(LedgerSnapshot::Save(ledger, first_retained),
-                           view.position);
-        });
-    if (WriteSnapshot(*store_, options_.snapshots, bytes, first_retained)) {
-      LogEvent("ledger_adopted")
-          .With("read_to", read_to)
-          .With("position", first_retained);
+  // Without an answer there may be a newer snapshot, which must not be
+  // replaced.
+  if (result == RestoreResult::kNoneCovers) {
+    const Time now = BootClockNow();
+    if (uncovered_since_ == Time{0}) {
+      uncovered_since_ = now;
+    }
+    if (options_.adopt_state_after_gap &&
+        now - uncovered_since_ > kAdoptDelay) {
+      AdoptState(first_retained);
     }
   }
   WaitToRestore();
 }
 
+void LedgerFollower::AdoptState(std::int64_t first_retained) {
+  const auto [bytes, read_to] =
+      Read([&](const Ledger& ledger, const LedgerView& view) {
+        return std::pair(LedgerSnapshot::Save(ledger, first_retained),
+                         view.position);
+      });
+  if (WriteSnapshot(*store_, options_.snapshots, bytes, first_retained)) {
+    LogEvent("ledger_adopted")
+        .With("read_to", read_to)
+        .With("position", first_retained);
+  }
+}
+
 void LedgerFollower::WaitToRestore() {
   std::unique_lock lock(change_mutex_);
   change_condition_.wait_for(lock, restore_retry_.OnFailure(),
@@ -229,7 +245,7 @@
   bool is_readable = false;
   while (!stop_requested_) {
     if (!view().loaded) {
-      if (Restore(0)) {
+      if (Restore(0) == RestoreResult::kRestored) {
         restore_retry_.OnSuccess();
       } else {
         WaitToRestore();
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -34,8 +34,9 @@
     LogPartition snapshots;  // Keyed topic.
     // Wait of a read at the end of the log; bounds the age of the view.
     Duration poll_wait{500};
-    // True: if the log has deleted records that no snapshot covers, publishes
-    // its own state as the snapshot from which all processes continue.
+    // True: if the log has deleted records and the log service answers that no
+    // snapshot covers them, publishes its own state as the snapshot from which
+    // all processes continue.
     bool adopt_state_after_gap = false;
     // Between failed reads of a snapshot. Agents wait longer: they outnumber
     // the entries, which they need.
@@ -81,11 +82,18 @@
   std::uint64_t WaitForChange(std::uint64_t version, Duration timeout) const;
 
  private:
+  enum class RestoreResult {
+    kRestored,
+    kUnanswered,  // The log service could not be read.
+    kNoneCovers,  // It was read; no snapshot reaches the position.
+  };
+
   void Loop();
-  bool Restore(std::int64_t min_position);
+  RestoreResult Restore(std::int64_t min_position);
   void WaitToRestore();
   Duration ReadTimeout() const;
   void HandleGap(std::int64_t first_retained);
+  void AdoptState(std::int64_t first_retained);
   void ApplyRecords(const ReadResult& read, Time sent_at);
   void PauseUntilNextRead(Time sent_at);
   void CatchUpLoop();
@@ -106,7 +114,9 @@
   std::int64_t expected_end_ = 0;  // Guarded by change_mutex_.
   RecordRing ring_;
   RetryBackoff restore_retry_;  // Used by the follower's thread only.
-  Time gap_since_{0};           // When deleted records were noticed. 0: no gap.
+  bool is_in_gap_ = false;      // Deleted records are not covered yet.
+  // First answer that no snapshot covers the gap. 0: no such answer yet.
+  Time uncovered_since_{0};
   std::atomic<Duration> read_interval_{Duration(0)};
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
--- a/tests/unit/ledger_follower_test.cc
+++ b/tests/unit/ledger_follower_test.cc
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include "src/jobs/ledger_codec.h"
@@ -161,5 +163,117 @@
   }
 }
 
+// A log whose oldest records have been deleted: what was read before does not
+// reach the first one that is retained.
+class TruncatedLog {
+ public:
+  static constexpr std::int64_t kFirstRetained = 10;
+
+  std::atomic<bool> answers_restores{true};
+  std::atomic<int> restores_after_gap{0};
+
+  int snapshots_written() {
+    const std::lock_guard lock(mutex_);
+    return snapshots_written_;
+  }
+  ReadResult Read(std::int64_t offset) {
+    std::this_thread::sleep_for(2ms);
+    if (offset < kFirstRetained) {
+      is_gap_seen_ = true;
+      return {.kind = ReadResult::Kind::kTruncated,
+              .first_offset = kFirstRetained};
+    }
+    return {.kind = ReadResult::Kind::kOk, .end_offset = offset};
+  }
+  LatestResult ReadLatest() {
+    restores_after_gap += is_gap_seen_ ? 1 : 0;
+    if (is_gap_seen_ && !answers_restores) {
+      return {.reason = "status 503"};
+    }
+    const std::lock_guard lock(mutex_);
+    LatestResult out{.ok = true};
+    for (const auto& [key, value] : snapshot_) {
+      out.records.push_back({.key = key, .value = value});
+    }
+    return out;
+  }
+  AppendResult AppendSnapshot(const std::vector<std::string>& records) {
+    const std::lock_guard lock(mutex_);
+    ++snapshots_written_;
+    for (const std::string& bytes : records) {
+      std::string key;
+      std::string value;
+      DecodeKeyed(bytes, key, value);
+      snapshot_[key] = value;
+    }
+    return {.kind = AppendResult::Kind::kStored};
+  }
+
+ private:
+  std::atomic<bool> is_gap_seen_{false};
+  std::mutex mutex_;  // Guards the members below.
+  int snapshots_written_ = 0;
+  std::map<std::string, std::string> snapshot_;
+};
+
+class TruncatedStore final : public LogStore {
+ public:
+  explicit TruncatedStore(TruncatedLog& log) : log_(log) {}
+
+  AppendResult Append(const LogPartition&,
+                      const std::vector<std::string>& records,
+                      const ProducerStamp&,
+                      Duration) override {
+    return log_.AppendSnapshot(records);
+  }
+  ReadResult Read(const LogPartition&,
+                  std::int64_t offset,
+                  Duration,
+                  Duration) override {
+    return log_.Read(offset);
+  }
+  LatestResult ReadLatest(const LogPartition&, Duration) override {
+    return log_.ReadLatest();
+  }
+
+ private:
+  TruncatedLog& log_;
+};
+
+// Guards against the loss of accepted jobs: an entry that cannot read the
+// newest snapshot replaces it with its own older state.
+TEST_CASE("ledger follower: adoption of its own state after a gap",
+          "[ledger_follower]") {
+  constexpr Duration kLongerThanTheAdoptDelay = 1500ms;
+  Metrics metrics;
+  TruncatedLog log;
+  LedgerFollower follower({.records = {.topic = "t"},
+                           .snapshots = {.topic = "s"},
+                           .adopt_state_after_gap = true},
+                          std::make_unique<TruncatedStore>(log),
+                          std::make_unique<TruncatedStore>(log), metrics);
+
+  SECTION("not while the log service does not answer") {
+    log.answers_restores = false;
+    follower.Start();
+    std::this_thread::sleep_for(kLongerThanTheAdoptDelay);
+    CHECK(log.restores_after_gap > 1);
+    CHECK(log.snapshots_written() == 0);
+
+    SECTION("and then not before other processes had time to write theirs") {
+      const Time answered_at = BootClockNow();
+      log.answers_restores = true;
+      CHECK(follower.WaitForPosition(TruncatedLog::kFirstRetained, 5s));
+      CHECK(log.snapshots_written() == 1);
+      CHECK(BootClockNow() - answered_at >= 600ms);
+    }
+  }
+  SECTION("once it has answered that no snapshot covers the gap") {
+    follower.Start();
+    CHECK(follower.WaitForPosition(TruncatedLog::kFirstRetained, 5s));
+    CHECK(log.snapshots_written() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
