A relay answers for the log only after it has read it to its end

Cause: such an entry's buffer had records but no time at which they were all; the relay answered with its boot clock as the age, and the caller subtracted that from its own clock. "Not read to its end yet" was as_of == 0, which such an answer ended.

Change: a buffer without that time has no data for callers, also after a gap, so that they take another route. The buffer of the configuration has it from its reload on. The follower keeps a flag that it has read the log to its end.

--- a/src/node/rules_follower.cc
+++ b/src/node/rules_follower.cc
@@ -100,7 +100,7 @@
     Apply({.key = key, .value = "", .offset = newest.end_offset - 1});
   }
   position_ = newest.end_offset;
-  ring_.Reset(position_);
+  ring_.Reset(position_, sent_at);
   Publish(sent_at);
   return true;
 }
--- a/src/relay/relay.capnp
+++ b/src/relay/relay.capnp
@@ -12,8 +12,9 @@
 
 interface Relay {
   # Records of a partition from an offset on, as this entry has read them.
-  # `known` is false if the entry does not follow the partition or has not
-  # read it yet; `kept` is false if it no longer has records that far back.
+  # `known` is false if the entry does not follow the partition or has not yet
+  # read it to its end; `kept` is false if it no longer has records that far
+  # back.
   read @0 (topic :Text, part :Int32, offset :Int64, waitMs :Int64)
       -> (known :Bool, kept :Bool, first :Int64, end :Int64, ageMs :Int64,
           records :List(LogRecord));
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -184,8 +184,8 @@
 
 Duration LedgerFollower::ReadTimeout() const {
   // The first reads return all that was appended since the snapshot.
-  return view().as_of == Time{0} ? kBulkReadTimeout
-                                 : options_.poll_wait + kReadTimeoutSlack;
+  return view().was_read_to_end ? options_.poll_wait + kReadTimeoutSlack
+                                : kBulkReadTimeout;
 }
 
 void LedgerFollower::ApplyRecords(const ReadResult& read, Time sent_at) {
@@ -208,8 +208,9 @@
     }
   }
   if (view_.position >= read.end_offset) {
-    if (view_.as_of == Time{0}) {
+    if (!view_.was_read_to_end) {
       ledger_.ForgetLiveness();  // All records so far are history.
+      view_.was_read_to_end = true;
     }
     view_.as_of = std::max(view_.as_of, sent_at - read.age);
   }
@@ -285,7 +286,7 @@
 
 void LedgerFollower::PauseUntilNextRead(Time sent_at) {
   const Duration interval = read_interval_.load();
-  if (interval <= Duration(0) || view().as_of == Time{0}) {
+  if (interval <= Duration(0) || !view().was_read_to_end) {
     return;
   }
   std::unique_lock lock(change_mutex_);
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -20,8 +20,9 @@
 
 // State of a process's replay of the ledger.
 struct LedgerView {
-  bool loaded = false;        // A snapshot was restored, or there is none.
-  std::int64_t position = 0;  // First offset that is not applied yet.
+  bool loaded = false;           // A snapshot was restored, or there is none.
+  std::int64_t position = 0;     // First offset that is not applied yet.
+  bool was_read_to_end = false;  // The log, once since the start.
   Time as_of{0};  // The log ended at `position` at some instant after this.
   Time readable_since{0};  // Reads have succeeded without a failure since then.
 };
--- a/src/store/record_ring.cc
+++ b/src/store/record_ring.cc
@@ -15,11 +15,12 @@
 
 }  // namespace
 
-void RecordRing::Reset(std::int64_t position) {
+void RecordRing::Reset(std::int64_t position, Time as_of) {
   const std::lock_guard lock(mutex_);
   records_.clear();
   byte_count_ = 0;
   end_offset_ = position;
+  as_of_ = as_of;
 }
 
 void RecordRing::Add(const ReadResult& read, Time as_of) {
@@ -48,8 +49,9 @@
 
 RecordRing::Slice RecordRing::ReadFrom(std::int64_t offset) const {
   const std::lock_guard lock(mutex_);
-  Slice out{
-      .has_data = end_offset_ >= 0, .end_offset = end_offset_, .as_of = as_of_};
+  Slice out{.has_data = end_offset_ >= 0 && as_of_ > Time{0},
+            .end_offset = end_offset_,
+            .as_of = as_of_};
   out.first_offset = records_.empty() ? end_offset_ : records_.front().offset;
   out.is_retained = out.has_data && offset >= out.first_offset;
   if (!out.is_retained) {
--- a/tests/unit/ledger_follower_test.cc
+++ b/tests/unit/ledger_follower_test.cc
@@ -17,7 +17,8 @@
 // hundreds of agents.
 class BusyStore final : public LogStore {
  public:
-  explicit BusyStore(std::atomic<int>& reads) : reads_(reads) {}
+  explicit BusyStore(std::atomic<int>& reads, Duration age = Duration(0))
+      : reads_(reads), age_(age) {}
 
   AppendResult Append(const LogPartition&,
                       const std::vector<std::string>&,
@@ -33,6 +34,7 @@
     std::this_thread::sleep_for(2ms);
     return {.kind = ReadResult::Kind::kOk,
             .end_offset = offset + 1,
+            .age = age_,
             .records = {{.offset = offset,
                          .bytes = EncodeRecord(
                              AgentHeartbeat{.agent = "a",
@@ -46,6 +48,7 @@
 
  private:
   std::atomic<int>& reads_;
+  const Duration age_;
 };
 
 TEST_CASE("ledger follower: reads of a busy log", "[ledger_follower]") {
@@ -86,6 +89,24 @@
   }
 }
 
+// Guards against a follower that takes each read for its first one: workers
+// that report all the time would count as unheard.
+TEST_CASE("ledger follower: a machine that started after the log's last read",
+          "[ledger_follower]") {
+  Metrics metrics;
+  std::atomic<int> reads{0};
+  const Duration older_than_the_clock = BootClockNow() + 1h;
+  LedgerFollower follower(
+      {.records = {.topic = "t"}},
+      std::make_unique<BusyStore>(reads, older_than_the_clock),
+      std::make_unique<BusyStore>(reads, older_than_the_clock), metrics);
+  follower.Start();
+  REQUIRE(follower.WaitForPosition(3, 5s));
+  follower.Read([](const Ledger& ledger, const LedgerView&) {
+    CHECK(ledger.FindAgent("a")->heard_worker.id == "w");
+  });
+}
+
 TEST_CASE("entry: reads of all followers together", "[ledger_follower]") {
   const EntryNode::Options options;
   const auto calls_per_s = [&](std::size_t entries) {
