Reads of a relay end 700 ms after their wait; the first read after a gap may take long

An agent whose relay was frozen read nothing for 4.5 s at its start instead of 1.2 s: the timeout for a log service with a long queue was passed on to relays too.

Change: a relay answers from memory, so its reads end 700 ms after the requested wait. The long timeout is used from each restore until the log was read to its end.

--- a/src/relay/relayed_log_store.cc
+++ b/src/relay/relayed_log_store.cc
@@ -1,5 +1,6 @@
 #include "src/relay/relayed_log_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/node/event_log.h"
@@ -76,7 +77,8 @@
     }
     return result;
   }
-  ReadResult result = ClientFor(route).Read(from, offset, wait, timeout);
+  ReadResult result = ClientFor(route).Read(
+      from, offset, wait, std::min(timeout, wait + options_.relay_read_slack));
   if (result.kind != ReadResult::Kind::kOk) {
     health_.RecordFailure(route, RouteHealth::Operation::kRead, result.reason);
   } else if (result.age > wait + options_.max_relay_age) {
--- a/src/relay/relayed_log_store.h
+++ b/src/relay/relayed_log_store.h
@@ -23,6 +23,9 @@
     bool prefer_relays = false;  // True: reduces the load of the log service.
     // A relay whose view of the log is older than this counts as failed.
     Duration max_relay_age{900};
+    // Time beyond the wait of a read within which a relay must answer. It reads
+    // from memory and has no queue, so the caller's timeout does not extend it.
+    Duration relay_read_slack{700};
   };
 
   // `health` is shared by all connections of the process and must outlive them.
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -121,6 +121,7 @@
       view_.position = lookup.snapshot->position;
     }
     view_.loaded = true;
+    is_catching_up_ = true;
     position = view_.position;
     ring_.Reset(position);
   }
@@ -183,9 +184,8 @@
 }
 
 Duration LedgerFollower::ReadTimeout() const {
-  // The first reads return all that was appended since the snapshot.
-  return view().was_read_to_end ? options_.poll_wait + kReadTimeoutSlack
-                                : kBulkReadTimeout;
+  return is_catching_up_ ? kBulkReadTimeout
+                         : options_.poll_wait + kReadTimeoutSlack;
 }
 
 void LedgerFollower::ApplyRecords(const ReadResult& read, Time sent_at) {
@@ -208,6 +208,7 @@
     }
   }
   if (view_.position >= read.end_offset) {
+    is_catching_up_ = false;
     if (!view_.was_read_to_end) {
       ledger_.ForgetLiveness();  // All records so far are history.
       view_.was_read_to_end = true;
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -115,7 +115,9 @@
   std::int64_t expected_end_ = 0;  // Guarded by change_mutex_.
   RecordRing ring_;
   RetryBackoff restore_retry_;  // Used by the follower's thread only.
-  bool is_in_gap_ = false;      // Deleted records are not covered yet.
+  // True: the next read returns all that was appended since the snapshot.
+  std::atomic<bool> is_catching_up_{true};
+  bool is_in_gap_ = false;  // Deleted records are not covered yet.
   // First answer that no snapshot covers the gap. 0: no such answer yet.
   Time uncovered_since_{0};
   std::atomic<Duration> read_interval_{Duration(0)};
--- a/tests/unit/ledger_follower_test.cc
+++ b/tests/unit/ledger_follower_test.cc
@@ -190,19 +190,24 @@
  public:
   static constexpr std::int64_t kFirstRetained = 10;
 
+  std::atomic<std::int64_t> first_retained{kFirstRetained};
   std::atomic<bool> answers_restores{true};
+  std::atomic<Duration> first_timeout_after_gap{Duration(0)};
   std::atomic<int> restores_after_gap{0};
 
   int snapshots_written() {
     const std::lock_guard lock(mutex_);
     return snapshots_written_;
   }
-  ReadResult Read(std::int64_t offset) {
+  ReadResult Read(std::int64_t offset, Duration timeout) {
     std::this_thread::sleep_for(2ms);
-    if (offset < kFirstRetained) {
+    if (offset < first_retained) {
       is_gap_seen_ = true;
       return {.kind = ReadResult::Kind::kTruncated,
-              .first_offset = kFirstRetained};
+              .first_offset = first_retained};
+    }
+    if (is_gap_seen_ && first_timeout_after_gap.load() == Duration(0)) {
+      first_timeout_after_gap = timeout;
     }
     return {.kind = ReadResult::Kind::kOk, .end_offset = offset};
   }
@@ -250,8 +255,8 @@
   ReadResult Read(const LogPartition&,
                   std::int64_t offset,
                   Duration,
-                  Duration) override {
-    return log_.Read(offset);
+                  Duration timeout) override {
+    return log_.Read(offset, timeout);
   }
   LatestResult ReadLatest(const LogPartition&, Duration) override {
     return log_.ReadLatest();
@@ -296,5 +301,29 @@
   }
 }
 
+// Guards against reads that time out again and again on a busy log service:
+// the first one after a gap returns all that was appended since the snapshot.
+TEST_CASE("ledger follower: the first read after a gap", "[ledger_follower]") {
+  constexpr Duration kLongestQueue = 2s;  // Longer waits are refused.
+  Metrics metrics;
+  TruncatedLog log;
+  log.first_retained = 0;
+  LedgerFollower follower({.records = {.topic = "t"},
+                           .snapshots = {.topic = "s"},
+                           .adopt_state_after_gap = true},
+                          std::make_unique<TruncatedStore>(log),
+                          std::make_unique<TruncatedStore>(log), metrics);
+  follower.Start();
+  while (follower.view().as_of == Time{0}) {
+    std::this_thread::sleep_for(1ms);
+  }
+  log.first_retained = TruncatedLog::kFirstRetained;
+  REQUIRE(follower.WaitForPosition(TruncatedLog::kFirstRetained, 5s));
+  while (log.first_timeout_after_gap.load() == Duration(0)) {
+    std::this_thread::sleep_for(1ms);
+  }
+  CHECK(log.first_timeout_after_gap.load() > kLongestQueue);
+}
+
 }  // namespace
 }  // namespace marjoramplank
