Polls of a log service with a long queue: wait longer after one that timed out

After a restart of everything, entries that had restored everything refused requests and could not be elected: 46 refusals because the configuration was last confirmed 2.8 to 5.4 s ago, up to 5 s after the restart.

Cause: polls gave up after 1.2 s while the queue of the log service was 2 to 4 s long, again and again, and each one marked the direct route as failed for both followers.

Change: after a direct read that timed out, the next direct reads of that follower wait for up to 4.5 s, until a read succeeds. A read that a relay delivers counts too, so that a log service that is cut off costs no more than before. Refusals change nothing, and a route that timed out still counts as failed for the others.

--- a/src/relay/relayed_log_store.cc
+++ b/src/relay/relayed_log_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/node/clock.h"
 #include "src/node/event_log.h"
 
 namespace marjoramplank {
@@ -62,20 +63,31 @@
   return result;
 }
 
+ReadResult RelayedLogStore::ReadDirect(const LogPartition& from,
+                                       std::int64_t offset,
+                                       Duration wait,
+                                       Duration usual_timeout) {
+  const Duration timeout = direct_read_timeout_.For(usual_timeout);
+  const Time sent_at = BootClockNow();
+  ReadResult result = direct_store_->Read(from, offset, wait, timeout);
+  if (result.kind == ReadResult::Kind::kFailed) {
+    direct_read_timeout_.OnFailure(timeout, BootClockNow() - sent_at);
+    health_.RecordFailure(kDirectRoute, RouteHealth::Operation::kRead,
+                          result.reason);
+  } else {
+    direct_read_timeout_.OnSuccess();
+    OnSuccess(kDirectRoute, RouteHealth::Operation::kRead);
+  }
+  return result;
+}
+
 ReadResult RelayedLogStore::Read(const LogPartition& from,
                                  std::int64_t offset,
                                  Duration wait,
                                  Duration timeout) {
   const std::string route = ChooseRoute(RouteHealth::Operation::kRead);
   if (route == kDirectRoute) {
-    ReadResult result = direct_store_->Read(from, offset, wait, timeout);
-    if (result.kind == ReadResult::Kind::kFailed) {
-      health_.RecordFailure(route, RouteHealth::Operation::kRead,
-                            result.reason);
-    } else {
-      OnSuccess(route, RouteHealth::Operation::kRead);
-    }
-    return result;
+    return ReadDirect(from, offset, wait, timeout);
   }
   ReadResult result = ClientFor(route).Read(
       from, offset, wait, std::min(timeout, wait + options_.relay_read_slack));
@@ -86,6 +98,7 @@
     health_.RecordFailure(route, RouteHealth::Operation::kRead,
                           "the entry's view of the log is stale");
   } else {
+    direct_read_timeout_.OnSuccess();
     OnSuccess(route, RouteHealth::Operation::kRead);
   }
   return result;
--- a/src/relay/relayed_log_store.h
+++ b/src/relay/relayed_log_store.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/relay/direct_read_timeout.h"
 #include "src/relay/relay_client.h"
 #include "src/relay/route_health.h"
 #include "src/store/log_store.h"
@@ -49,10 +50,15 @@
   std::string ChooseRoute(RouteHealth::Operation operation) const;
   RelayClient& ClientFor(const std::string& address);
   void OnSuccess(const std::string& route, RouteHealth::Operation operation);
+  ReadResult ReadDirect(const LogPartition& from,
+                        std::int64_t offset,
+                        Duration wait,
+                        Duration usual_timeout);
 
   const Options options_;
   const std::unique_ptr<LogStore> direct_store_;
   RouteHealth& health_;
+  DirectReadTimeout direct_read_timeout_;
   std::map<std::string, std::unique_ptr<RelayClient>> clients_;
   std::string last_route_ = "?";
 };
--- a/tests/unit/relayed_log_store_test.cc
+++ b/tests/unit/relayed_log_store_test.cc
@@ -128,5 +128,48 @@
   }
 }
 
+// Guards against polls that time out again and again while a log service with a
+// long queue would answer them, so that an entry that has everything refuses.
+TEST_CASE("relayed store: polls of a log service with a long queue",
+          "[relay]") {
+  constexpr Duration kPollTimeout = 50ms;
+  DirectCalls direct;
+  RouteHealth health({});
+  RelayedLogStore store(
+      {.relay_addresses =
+           [](RouteHealth::Operation) { return std::vector<std::string>(); }},
+      std::make_unique<DirectStore>(direct), health);
+  const auto poll = [&] {
+    return store.Read(kRecords, 0, 10ms, kPollTimeout).kind;
+  };
+
+  SECTION("one that timed out is repeated with the timeout of long answers") {
+    direct.answers_after = 100ms;
+    CHECK(poll() == ReadResult::Kind::kFailed);
+    CHECK(poll() == ReadResult::Kind::kOk);
+    CHECK(direct.timeouts ==
+          std::vector<Duration>{kPollTimeout, kBulkReadTimeout});
+
+    SECTION("until one is answered") {
+      direct.answers_after = Duration(0);
+      CHECK(poll() == ReadResult::Kind::kOk);
+      CHECK(direct.timeouts.back() == kPollTimeout);
+    }
+  }
+  SECTION("and counts as a failure of the route, for the other followers") {
+    direct.answers_after = 100ms;
+    poll();
+    std::vector<std::string> routes = {kDirectRoute, "relay"};
+    health.SortByHealth(routes, RouteHealth::Operation::kRead);
+    CHECK(routes.front() == "relay");
+  }
+  SECTION("one that is refused at once is repeated with the usual timeout") {
+    direct.answer = ReadResult::Kind::kFailed;
+    poll();
+    poll();
+    CHECK(direct.timeouts == std::vector<Duration>{kPollTimeout, kPollTimeout});
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
