Log lines of plans and status queries: write them without the ledger's lock

The planner wrote plan_slow, decide_preempt and its decisions, and entries wrote status_refused and status_slow, while they held the lock of the ledger, so that records were not applied meanwhile. No behaviour changes otherwise: the lines and answers are the same, and the age of a status query's ledger is now taken after the lock was released, which is never younger. No test: the order of a log line and a lock is not visible to callers.

The comment of kBulkReadTimeout said that the log service lets reads wait for 2 s. The 2 s are stated for appends; reads were seen to wait for up to 4 s. The limit is per page.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -281,19 +281,25 @@
   }
   const auto rules = rules_.view();
   Dispatcher::Trace trace;
-  ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-    const Time started_at = BootClockNow();
-    std::vector<LedgerRecord> plan =
-        dispatcher_.Plan({.now = now,
-                          .unix_ms = SteadyUnixMs(),
-                          .epoch = ledger.planner_epoch(),
-                          .ledger = ledger,
-                          .rules = *rules,
-                          .trace = &trace});
-    LogPlan(trace, BootClockNow() - started_at, now - view.as_of);
-    LogDecisions(plan, view.position);
-    records.insert(records.end(), plan.begin(), plan.end());
-  });
+  LedgerView planned_on;
+  Duration took{0};
+  const std::vector<LedgerRecord> plan =
+      ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
+        planned_on = view;
+        const Time started_at = BootClockNow();
+        std::vector<LedgerRecord> out =
+            dispatcher_.Plan({.now = now,
+                              .unix_ms = SteadyUnixMs(),
+                              .epoch = ledger.planner_epoch(),
+                              .ledger = ledger,
+                              .rules = *rules,
+                              .trace = &trace});
+        took = BootClockNow() - started_at;
+        return out;
+      });
+  LogPlan(trace, took, now - planned_on.as_of);
+  LogDecisions(plan, planned_on.position);
+  records.insert(records.end(), plan.begin(), plan.end());
   if (!records.empty()) {
     AwaitReplay(leadership_.Append(records, epoch));
   }
--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -165,39 +165,49 @@
         .With("reason", admission.rejection.reason);
     return admission.rejection;
   }
-  return ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
-    const Time now = BootClockNow();
-    const Duration age = now - view.as_of;
-    if (!view.loaded || age > options_.max_ledger_age) {
-      LogEvent("status_refused")
-          .With("path", call.path)
-          .With("reason", "the ledger is not current")
-          .With("loaded", view.loaded)
-          .With("position", view.position)
-          .With("age_ms", age.count())
-          .With("took_ms", (now - call.received_at).count());
-      return RejectWithRetry("the ledger was last confirmed " +
-                                 std::to_string(age.count()) + " ms ago",
-                             options_.retry_after_outage);
-    }
-    if (now - call.received_at > kSlowStatus) {
-      LogEvent("status_slow")
-          .With("path", call.path)
-          .With("age_ms", age.count())
-          .With("took_ms", (now - call.received_at).count());
-    }
-    if (admission.job.empty()) {
-      return ClientResponse{
-          .waiting_jobs = ledger.QueuedJobCount(admission.queue.terms.queue)};
-    }
-    const LedgerJob* job = ledger.FindJob(admission.job);
-    if (job == nullptr ||
-        job->request.terms.queue != admission.queue.terms.queue) {
-      return ClientResponse{.kind = ClientResponse::Kind::kJobNotFound,
-                            .reason = "no such job"};
-    }
-    return ClientResponse{.job_phase = job->phase};
-  });
+  LedgerView read_at;
+  const ClientResponse response =
+      ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
+        read_at = view;
+        return StatusOf(ledger, admission);
+      });
+  // Checked and logged after the ledger was released.
+  const Time now = BootClockNow();
+  const Duration age = now - read_at.as_of;
+  const Duration took = now - call.received_at;
+  if (!read_at.loaded || age > options_.max_ledger_age) {
+    LogEvent("status_refused")
+        .With("path", call.path)
+        .With("reason", "the ledger is not current")
+        .With("loaded", read_at.loaded)
+        .With("position", read_at.position)
+        .With("age_ms", age.count())
+        .With("took_ms", took.count());
+    return RejectWithRetry("the ledger was last confirmed " +
+                               std::to_string(age.count()) + " ms ago",
+                           options_.retry_after_outage);
+  }
+  if (took > kSlowStatus) {
+    LogEvent("status_slow")
+        .With("path", call.path)
+        .With("age_ms", age.count())
+        .With("took_ms", took.count());
+  }
+  return response;
+}
+
+ClientResponse JobService::StatusOf(const Ledger& ledger,
+                                    const Admission& admission) {
+  if (admission.job.empty()) {
+    return {.waiting_jobs = ledger.QueuedJobCount(admission.queue.terms.queue)};
+  }
+  const LedgerJob* job = ledger.FindJob(admission.job);
+  if (job == nullptr ||
+      job->request.terms.queue != admission.queue.terms.queue) {
+    return {.kind = ClientResponse::Kind::kJobNotFound,
+            .reason = "no such job"};
+  }
+  return {.job_phase = job->phase};
 }
 
 ClientResponse JobService::Cancel(const ClientRequest& call) {
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -87,6 +87,8 @@
     std::string job;
   };
   Admission Admit(const ClientRequest& call) const;
+  static ClientResponse StatusOf(const Ledger& ledger,
+                                 const Admission& admission);
   ClientResponse RejectWithRetry(const std::string& reason,
                                  Duration retry_after) const;
   Time AppendDeadline(const ClientRequest& call) const;
--- a/src/store/retry_backoff.h
+++ b/src/store/retry_backoff.h
@@ -33,9 +33,10 @@
   std::minstd_rand random_;
 };
 
-// Timeout of a call that returns many records. The log service refuses a call
-// that would wait for more than 2 s; with a timeout below that, a service that
-// is busy sends answers that nobody reads. The rest is for the transfer.
+// Timeout of one page of a read that returns many records. The log service
+// states a longest queue of 2 s for appends only; reads were seen to wait up to
+// 4 s. With a timeout below the queue, a service that is busy sends answers
+// that nobody reads.
 inline constexpr Duration kBulkReadTimeout{4500};
 
 }  // namespace marjoramplank
