--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -23,8 +23,6 @@
 constexpr Duration kMinRelayAppendTimeout = 500ms;
 // Longest wait for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 300ms;
-// Longest delay before a failed read of a snapshot is repeated.
-constexpr Duration kMaxRestoreRetryDelay = 1500ms;
 // The agent acts only on a ledger younger than this: one poll and one slow
 // answer.
 constexpr Duration kMaxLedgerAge = 1200ms;
@@ -107,7 +105,7 @@
     : options_(std::move(options)),
       ledger_({.records = options_.records,
                .snapshots = options_.snapshots,
-               .restore_retry = {.max_delay = kMaxRestoreRetryDelay}},
+               .restore_retry = kAgentRestoreRetry},
               OpenRelayed(open_store),
               OpenRelayed(open_store),
               metrics_),
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -13,6 +13,7 @@
 #include "src/node/entry_node.h"
 #include "src/store/ledger_follower.h"
 #include "src/store/ledger_writer.h"
+#include "src/store/retry_backoff.h"
 #include "src/supervisor/supervisor.h"
 
 namespace marjoramplank {
@@ -20,6 +21,10 @@
 // Opens another connection to the endpoint of the worker beside the agent.
 using EndpointFactory = std::function<std::unique_ptr<TaskEndpoint>()>;
 
+// Between failed reads of a snapshot by an agent.
+inline constexpr RetryBackoff::Options kAgentRestoreRetry{.max_delay =
+                                                              Duration(1500)};
+
 // Runs an agent: replays the ledger, reconciles one worker with it, and appends
 // the state that the worker reports.
 class AgentNode {
