--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -166,7 +166,7 @@
     return admission.rejection;
   }
   LedgerView read_at;
-  const ClientResponse response =
+  ClientResponse response =
       ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
         read_at = view;
         return StatusOf(ledger, admission);
