Dispatcher: reserve workers for wide gangs that do not fit

Cause: single tasks of a lower priority take every accelerator as it becomes free, so that the workers of a wide gang are never free at the same moment.

The first waiting gangs that do not fit, and that may not preempt, get the workers that are expected to have room soonest, and the latest of these times as their start time. Later units run there only in the room that the gang leaves, or if they are expected to end by then (with a margin of a quarter of their estimate). Reservations are logged (event reserve), once a second for each gang.

--- a/src/dispatch/capacity_table.cc
+++ b/src/dispatch/capacity_table.cc
@@ -16,11 +16,17 @@
 }
 
 void CapacityTable::Reserve(const WorkerIncarnation& incarnation,
-                            const TaskRef& task,
-                            const Resources& need) {
-  if (WorkerCapacity* worker = Find(incarnation)) {
-    worker->free -= need;
-    ++worker->planned_tasks[FirstTaskOfStep(task)];
+                            const WaitingUnit& unit) {
+  WorkerCapacity* worker = Find(incarnation);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->free -= unit.member_need;
+  ++worker->planned_tasks[FirstTaskOfStep(unit.first_task)];
+  worker->planned_releases.push_back(
+      {.at = unit.expected_end, .need = unit.member_need});
+  if (worker->hold && unit.expected_end > worker->hold->until) {
+    worker->hold->spare -= unit.member_need;
   }
 }
 
--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -1,13 +1,26 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "src/jobs/ledger.h"
+#include "src/dispatch/waiting_unit.h"
 
 namespace marjoramplank {
 
+// Resources that a run is expected to free.
+struct Release {
+  Time at{0};
+  Resources need;
+};
+
+// A worker is reserved for members of a gang.
+struct WorkerHold {
+  Time until{0};    // When the gang is expected to start.
+  Resources spare;  // Expected to be free then, beside the gang's members.
+};
+
 // Free capacity of one worker while a plan is made.
 struct WorkerCapacity {
   const LedgerWorker* entry = nullptr;
@@ -15,6 +28,8 @@
   bool is_quarantined = false;  // Failed or refused lately.
   // Tasks that this plan places on the worker, by the first task of their step.
   std::map<TaskRef, std::int32_t> planned_tasks;
+  std::vector<Release> planned_releases;  // By these tasks.
+  std::optional<WorkerHold> hold;
 };
 
 // Returns the first task of the task's step, which identifies the step.
@@ -45,10 +60,8 @@
   workers_by_rack() const {
     return workers_by_rack_;
   }
-  // Reserves capacity for a task of the same step as `task`.
-  void Reserve(const WorkerIncarnation& incarnation,
-               const TaskRef& task,
-               const Resources& need);
+  // Takes the capacity for a member of the unit.
+  void Reserve(const WorkerIncarnation& incarnation, const WaitingUnit& unit);
   // Searches call this with the number of workers that they examine.
   void CountExamined(std::size_t workers) const {
     examined_workers_ += static_cast<std::int64_t>(workers);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -136,7 +136,8 @@
              .member_need = need,
              .due_at = due_at,
              .deadline = due_at + objective,
-             .outlook = outlook});
+             .outlook = outlook,
+             .expected_end = ExpectedEnd(in.now, step)});
       }
     }
   }
@@ -197,10 +198,19 @@
   }
 }
 
-std::optional<UnitPlacement> Dispatcher::FindPlacementWithFallback(
-    const Input& in,
-    const CapacityTable& table,
-    const WaitingUnit& unit) const {
+Time Dispatcher::ExpectedEnd(Time now, const JobStep& step) const {
+  if (step.long_running) {
+    return kNever;
+  }
+  const Duration estimate = RunTimeEstimate(step, options_.default_estimate);
+  return now +
+         Duration(static_cast<std::int64_t>(
+             static_cast<double>(estimate.count()) * options_.backfill_margin));
+}
+
+bool Dispatcher::WaitsForRack(const Input& in,
+                              const CapacityTable& table,
+                              const WaitingUnit& unit) const {
   const Duration waited = in.now - unit.due_at;
   const auto estimate = static_cast<double>(
       RunTimeEstimate(*unit.step, options_.default_estimate).count());
@@ -208,9 +218,17 @@
   const bool has_preferred_rack =
       (is_same_rack_gang && FitsInOneRack(table, unit)) ||
       (!unit.step->data_rack.empty() && CanRunInDataRack(table, unit));
-  const bool waits_for_rack =
-      has_preferred_rack && static_cast<double>(waited.count()) <
-                                options_.locality_wait_fraction * estimate;
+  return has_preferred_rack && static_cast<double>(waited.count()) <
+                                   options_.locality_wait_fraction * estimate;
+}
+
+std::optional<UnitPlacement> Dispatcher::FindPlacementWithFallback(
+    const Input& in,
+    const CapacityTable& table,
+    const WaitingUnit& unit,
+    bool allow_reserved) const {
+  const bool waits_for_rack = WaitsForRack(in, table, unit);
+  const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
   const bool has_rack_preference =
       is_same_rack_gang || !unit.step->data_rack.empty();
   for (const bool allow_failed_worker : {false, true}) {
@@ -224,7 +242,8 @@
       std::optional<UnitPlacement> placement =
           FindUnitPlacement(table, unit,
                             {.allow_any_rack = allow_any_rack,
-                             .allow_failed_worker = allow_failed_worker});
+                             .allow_failed_worker = allow_failed_worker,
+                             .allow_reserved = allow_reserved});
       if (placement) {
         return placement;
       }
@@ -233,6 +252,23 @@
   return std::nullopt;
 }
 
+void Dispatcher::ReserveForGang(const Input& in,
+                                const CapacityTable& table,
+                                const WaitingUnit& unit,
+                                ReservationPlanner& reservations) const {
+  // A gang that is too late to earn anything is not worth idle workers.
+  if (!unit.step->gang || unit.outlook == DeadlineOutlook::kNoCredit ||
+      !reservations.MayReserve()) {
+    return;
+  }
+  ReservationScope scope = ReservationScope::kAnyWorker;
+  if (WaitsForRack(in, table, unit)) {
+    scope = unit.step->same_rack ? ReservationScope::kOneRack
+                                 : ReservationScope::kDataRack;
+  }
+  reservations.Reserve(unit, scope);
+}
+
 bool Dispatcher::Preempt(const Input& in,
                          CapacityTable& table,
                          PreemptionSearch& search,
@@ -279,7 +315,7 @@
   // Reserves the capacity, including what is free already, so that units later
   // in the order cannot use it.
   for (const MemberPlace& m : placement->members) {
-    table.Reserve(m.incarnation, unit.first_task, unit.member_need);
+    table.Reserve(m.incarnation, unit);
   }
   return true;
 }
@@ -299,6 +335,9 @@
     in.trace->waiting_units = waiting_units.size();
   }
   PreemptionSearch search(in.now, in.ledger, table);
+  ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
+                                  table);
+  IdleJobs idle_jobs(in.ledger, table);
   // Steps of which a unit could not be placed. A plan only takes capacity, so
   // their other units cannot be placed either.
   std::set<TaskRef> unplaceable_steps;
@@ -308,20 +347,27 @@
       continue;
     }
     if (const std::optional<UnitPlacement> placement =
-            FindPlacementWithFallback(in, table, unit)) {
+            FindPlacementWithFallback(in, table, unit,
+                                      idle_jobs.MayUseReserved(unit))) {
+      idle_jobs.SetRunning(unit.first_task.job);
       out.emplace_back(MakeRunStarted(in, unit, *placement));
       for (const MemberPlace& m : placement->members) {
-        table.Reserve(m.incarnation, unit.first_task, unit.member_need);
+        table.Reserve(m.incarnation, unit);
       }
       continue;
     }
     const bool may_preempt =
         unit.is_guaranteed || unit.job->request.terms.priority == 0;
-    if (!may_preempt || !Preempt(in, table, search, unit, stopped_units, out)) {
-      unplaceable_steps.insert(step);
+    if (may_preempt && Preempt(in, table, search, unit, stopped_units, out)) {
+      continue;
+    }
+    unplaceable_steps.insert(step);
+    if (!may_preempt) {
+      ReserveForGang(in, table, unit, reservations);
     }
   }
   if (in.trace != nullptr) {
+    in.trace->reservations = reservations.reservations();
     in.trace->examined_workers = table.examined_workers();
   }
   return out;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
+#include "src/dispatch/reservation.h"
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
 #include "src/rules/rules.h"
@@ -44,6 +45,10 @@
     Duration default_estimate{5000};
     // How long before its due time an occurrence of a recurring job may start.
     Duration max_early_start{0};
+    // Declared run times are uncertain: a unit counts as ended by the start
+    // time of a reservation only with this margin.
+    double backfill_margin = 1.25;
+    ReservationPlanner::Options reservations;
   };
 
   // A preemption of a plan: which unit displaces which run, and at what cost.
@@ -60,6 +65,7 @@
     // Workers that were examined, counted once for each search.
     std::int64_t examined_workers = 0;
     std::vector<Preemption> preemptions;
+    std::vector<Reservation> reservations;
   };
 
   struct Input {
@@ -88,11 +94,22 @@
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
   void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
+  Time ExpectedEnd(Time now, const JobStep& step) const;
+  // True while the unit waits for its preferred rack.
+  bool WaitsForRack(const Input& in,
+                    const CapacityTable& table,
+                    const WaitingUnit& unit) const;
   // Tries the preferred racks and workers first, then the others.
   std::optional<UnitPlacement> FindPlacementWithFallback(
       const Input& in,
       const CapacityTable& table,
-      const WaitingUnit& unit) const;
+      const WaitingUnit& unit,
+      bool allow_reserved) const;
+  // Reserves workers for a gang that does not fit.
+  void ReserveForGang(const Input& in,
+                      const CapacityTable& table,
+                      const WaitingUnit& unit,
+                      ReservationPlanner& reservations) const;
   // Stops victims for the unit and reserves its capacity. `stopped_units` holds
   // the units that this plan stops. Returns false if nothing may be preempted.
   bool Preempt(const Input& in,
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -61,6 +61,22 @@
          entry.report.rack == unit.step->data_rack;
 }
 
+// The room in which the unit may run: a worker that is reserved for a gang has
+// room for it only until the gang starts, or beside the gang.
+Resources AvailableTo(const WaitingUnit& unit,
+                      const WorkerCapacity& worker,
+                      const PlacementOptions& options) {
+  if (!worker.hold || options.allow_reserved ||
+      unit.expected_end <= worker.hold->until) {
+    return worker.free;
+  }
+  const Resources& spare = worker.hold->spare;
+  return {
+      .cpu_milli = std::min(worker.free.cpu_milli, spare.cpu_milli),
+      .memory_mb = std::min(worker.free.memory_mb, spare.memory_mb),
+      .accelerators = std::min(worker.free.accelerators, spare.accelerators)};
+}
+
 using WorkerList = std::vector<const WorkerCapacity*>;
 
 struct Candidate {
@@ -82,7 +98,7 @@
       continue;
     }
     const std::int32_t fitting_members =
-        MembersThatFit(unit, *worker, worker->free);
+        MembersThatFit(unit, *worker, AvailableTo(unit, *worker, options));
     if (fitting_members > 0) {
       // One accelerator outweighs the processors of any worker below 1,000
       // cores.
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -23,6 +23,8 @@
   bool allow_quarantined = false;
   // Also workers where this unit failed before.
   bool allow_failed_worker = false;
+  // Also the room that is held for gangs with a reservation.
+  bool allow_reserved = false;
 };
 
 // Finds free capacity for every member of the unit. Empty: there is none.
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -17,6 +17,8 @@
   Time deadline{0};       // The objective is to end by then.
   DeadlineOutlook outlook = DeadlineOutlook::kOnTime;
   bool is_guaranteed = false;  // Within its account's guarantee.
+  // If it starts now; kNever for tasks that last.
+  Time expected_end = kNever;
 };
 
 }  // namespace marjoramplank
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -32,6 +32,8 @@
 
 // A plan that takes longer is logged: orders wait for it.
 constexpr Duration kSlowPlan = 50ms;
+// A reservation that lasts is logged this often.
+constexpr Duration kReservationLogInterval = 1s;
 
 // Longest wait for the resignation and for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 700ms;
@@ -272,6 +274,22 @@
   }
 }
 
+void EntryNode::LogReservations(const std::vector<Reservation>& reservations,
+                                Time now) {
+  std::erase_if(reservations_logged_at_, [&](const auto& logged) {
+    return now - logged.second >= kReservationLogInterval;
+  });
+  for (const Reservation& r : reservations) {
+    if (!reservations_logged_at_.try_emplace(r.gang, now).second) {
+      continue;
+    }
+    LogEvent("reserve")
+        .With("gang", ToString(r.gang))
+        .With("workers", r.workers)
+        .With("starts_in_ms", (r.start_at - now).count());
+  }
+}
+
 void EntryNode::PlanOnce(Time now, std::int64_t epoch) {
   std::vector<LedgerRecord> records;
   if (now - last_heartbeat_at_ >= options_.planner_heartbeat_interval) {
@@ -291,6 +309,7 @@
                           .rules = *rules,
                           .trace = &trace});
     LogPlan(trace, BootClockNow() - started_at, now - view.as_of);
+    LogReservations(trace.reservations, now);
     LogDecisions(plan, view.position);
     records.insert(records.end(), plan.begin(), plan.end());
   });
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -90,6 +91,7 @@
   void LogPlan(const Dispatcher::Trace& trace,
                Duration took,
                Duration ledger_age);
+  void LogReservations(const std::vector<Reservation>& reservations, Time now);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position);
 
@@ -111,6 +113,8 @@
   Time last_heartbeat_at_{0};
   Time last_snapshot_at_{0};
   std::int64_t snapshot_position_ = 0;
+  // When the reservation of each gang was last logged. Older ones are dropped.
+  std::map<TaskRef, Time> reservations_logged_at_;
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> resign_requested_{false};
   std::atomic<bool> has_resigned_{false};
--- a/tests/unit/dispatch_scale_test.cc
+++ b/tests/unit/dispatch_scale_test.cc
@@ -94,6 +94,20 @@
     CHECK(trace.examined_workers <= kSearchesPerStep * kSheets * kWorkers);
   }
 
+  SECTION("gangs that may not preempt wait for whole workers") {
+    for (int i = 0; i < kChecks; ++i) {
+      ledger.Apply(kNow,
+                   JobSubmitted{.request = Job("render" + std::to_string(i), 1,
+                                               {.tasks = 8,
+                                                .need = {.accelerators = 8},
+                                                .gang = true,
+                                                .same_rack = true})});
+    }
+    const Dispatcher::Trace trace = TraceOfPlan(ledger);
+    REQUIRE(trace.waiting_units == kChecks);
+    CHECK(trace.examined_workers <= kSearchesPerStep * kChecks * kWorkers);
+  }
+
   SECTION("urgent gangs wait for workers with a required label") {
     // No worker has the label, so that nothing can be preempted for them.
     for (int i = 0; i < kChecks; ++i) {
