Tell a crash of a worker from its departure, and count it for the tasks that ran there

The agent states in the record of a worker's end whether its process ended without having announced it, while the agent itself had heard it: an agent that restarted with its machine cannot know. Runs that were not sent to the worker are refused first, so that they are not counted. No decision depends on it yet.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -99,6 +99,7 @@
       epoch @5 : Int64;
       gone @6 : Bool;
       reason @7 : Text;
+      crashed @41 : Bool;
     }
     plannerElected : group {
       entry @8 : Text;
@@ -157,6 +158,12 @@
   checkpoint @6 : Text;
   members @7 : List(Member);
   failedOn @8 : List(Life);
+  crashes @9 : List(TaskCrashes);
+}
+
+struct TaskCrashes {
+  index @0 : Int32;
+  workers @1 : Int32;
 }
 
 struct JobState {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -28,6 +28,14 @@
   return task;
 }
 
+std::int32_t RunUnit::MaxCrashes() const {
+  std::int32_t max = 0;
+  for (const auto& [index, workers] : crashes) {
+    max = std::max(max, workers);
+  }
+  return max;
+}
+
 bool Ledger::Apply(Time now, const LedgerRecord& record) {
   return std::visit([&](const auto& r) { return ApplyRecord(now, r); }, record);
 }
@@ -167,6 +175,9 @@
   if (it == workers_.end() || (r.epoch != 0 && r.epoch != planner_epoch_)) {
     return false;
   }
+  if (r.crashed) {
+    CountCrash(it->second);
+  }
   EndAllRuns(it->second);
   it->second.report.accepting = false;
   it->second.incarnation_ended = r.incarnation_ended;
@@ -455,6 +466,17 @@
   }
 }
 
+void Ledger::CountCrash(LedgerWorker& worker) {
+  worker.crash_suspects.clear();
+  for (const auto& [task, run] : worker.runs) {
+    RunUnit* unit = FindUnit(task);
+    if (unit != nullptr && unit->run == run.run) {
+      worker.crash_suspects.push_back(
+          {.task = task, .crashed_workers = ++unit->crashes[task.index]});
+    }
+  }
+}
+
 void Ledger::EndAllRuns(LedgerWorker& worker) {
   const std::map<TaskRef, LiveRun> ended_runs = std::move(worker.runs);
   worker.runs.clear();
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -29,6 +29,12 @@
   std::vector<MemberPlace> members;  // Placement of the current run.
   // Workers on which a run has failed.
   std::set<WorkerIncarnation> failed_on_workers;
+  // Workers that crashed while they ran a task of the unit, by the task's
+  // index.
+  std::map<std::int32_t, std::int32_t> crashes;
+
+  // Most workers that crashed under one of its tasks.
+  std::int32_t MaxCrashes() const;
 
   friend bool operator==(const RunUnit&, const RunUnit&) = default;
 };
@@ -70,6 +76,12 @@
   Time first_seen_at{0};     // When this process first read it. Not replicated.
 };
 
+// A task that was running on a worker when it crashed.
+struct CrashSuspect {
+  TaskRef task;
+  std::int32_t crashed_workers = 0;  // Under this task so far.
+};
+
 // State of one incarnation of a worker.
 struct LedgerWorker {
   WorkerReported report;           // Latest report of its agent.
@@ -84,6 +96,8 @@
   std::int32_t consecutive_refusals = 0;
   // Last failed task or refused start. Not replicated.
   Time last_failure_at{0};
+  // Set when it crashes. Not replicated.
+  std::vector<CrashSuspect> crash_suspects;
 };
 
 struct LedgerAgent {
@@ -177,6 +191,8 @@
   void EndJob(LedgerJob& job, JobPhase phase);
   // Ends every run on the worker as if its lease had expired.
   void EndAllRuns(LedgerWorker& worker);
+  // Counts the crash for every task that runs on the worker.
+  void CountCrash(LedgerWorker& worker);
 
   std::map<std::string, LedgerJob> jobs_;
   std::set<std::string> open_jobs_;  // Not ended.
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -46,6 +46,7 @@
   ToWire(r.incarnation, w.initLife());
   w.setEpoch(r.epoch);
   w.setGone(r.incarnation_ended);
+  w.setCrashed(r.crashed);
   w.setReason(r.reason);
 }
 void WriteRecord(const PlannerElected& r, WireRecord::Builder out) {
@@ -122,6 +123,7 @@
       return WorkerEmptied{.incarnation = FromWire(w.getLife()),
                            .epoch = w.getEpoch(),
                            .incarnation_ended = w.getGone(),
+                           .crashed = w.getCrashed(),
                            .reason = FromWire(w.getReason())};
     }
     case WireRecord::PLANNER_ELECTED: {
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -81,6 +81,8 @@
   std::int64_t epoch = 0;  // Of the planner that decided. 0: its own agent.
   // The incarnation has ended and will not return.
   bool incarnation_ended = false;
+  // Its process ended without having announced it, while its agent watched.
+  bool crashed = false;
   std::string reason;
   friend bool operator==(const WorkerEmptied&, const WorkerEmptied&) = default;
 };
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -34,6 +34,12 @@
   for (const WorkerIncarnation& incarnation : in.failed_on_workers) {
     ToWire(incarnation, failed[n++]);
   }
+  auto crashes = out.initCrashes(static_cast<unsigned>(in.crashes.size()));
+  n = 0;
+  for (const auto& [index, workers] : in.crashes) {
+    crashes[n].setIndex(index);
+    crashes[n++].setWorkers(workers);
+  }
 }
 
 RunUnit ReadUnit(ledger_wire::Unit::Reader in) {
@@ -48,6 +54,9 @@
   for (const auto incarnation : in.getFailedOn()) {
     out.failed_on_workers.insert(FromWire(incarnation));
   }
+  for (const auto crash : in.getCrashes()) {
+    out.crashes[crash.getIndex()] = crash.getWorkers();
+  }
   return out;
 }
 
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -52,6 +52,7 @@
     LogEvent("worker_emptied")
         .With("worker", ToString(r->incarnation))
         .With("gone", r->incarnation_ended)
+        .With("crashed", r->crashed)
         .With("reason", r->reason);
   } else if (const auto* r = std::get_if<RunObserved>(&record);
              r && r->stalled) {
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -78,9 +78,10 @@
                             .deadline = BootClockNow() + kResignationTimeout});
           }),
       dispatcher_(options_.dispatch) {
-  ledger_.SetOnRecord(
-      [this](const Ledger& ledger, const LedgerRecord& record,
-             std::int64_t offset) { LogJobEnd(ledger, record, offset); });
+  ledger_.SetOnRecord([this](const Ledger& ledger, const LedgerRecord& record,
+                             std::int64_t offset) {
+    LogRecordEffects(ledger, record, offset);
+  });
   writer_.SetOnStored([this](std::int64_t end) { ledger_.ExpectEnd(end); });
   relay_writer_.SetOnStored(
       [this](std::int64_t end) { ledger_.ExpectEnd(end); });
@@ -182,29 +183,51 @@
   }
 }
 
-void EntryNode::LogJobEnd(const Ledger& ledger,
-                          const LedgerRecord& record,
-                          std::int64_t offset) {
+void EntryNode::LogRecordEffects(const Ledger& ledger,
+                                 const LedgerRecord& record,
+                                 std::int64_t offset) {
   if (ledger.planner() != leadership_.id()) {
-    return;  // Only the planner logs, so that the line appears once.
+    return;
   }
-  const auto* ended = std::get_if<TaskEnded>(&record);
-  const auto* cancelled = std::get_if<JobCancelled>(&record);
-  const std::string id = ended != nullptr       ? ended->task.job
-                         : cancelled != nullptr ? cancelled->job
-                                                : "";
+  if (const auto* ended = std::get_if<TaskEnded>(&record)) {
+    LogJobEnd(ledger, ended->task.job, offset);
+  } else if (const auto* cancelled = std::get_if<JobCancelled>(&record)) {
+    LogJobEnd(ledger, cancelled->job, offset);
+  } else if (const auto* emptied = std::get_if<WorkerEmptied>(&record);
+             emptied != nullptr && emptied->crashed) {
+    LogWorkerCrash(ledger, *emptied, offset);
+  }
+}
+
+void EntryNode::LogJobEnd(const Ledger& ledger,
+                          const std::string& id,
+                          std::int64_t offset) {
   const LedgerJob* job = ledger.FindJob(id);
-  if (job != nullptr && job->ended() &&
-      ledger.ended_jobs() != ended_job_count_) {
-    ended_job_count_ = ledger.ended_jobs();
-    metrics_.Add(job->phase == JobPhase::kCompleted ? Counter::kJobsDone
-                 : job->phase == JobPhase::kFailed  ? Counter::kJobsFailed
-                                                    : Counter::kJobsCancelled);
-    LogEvent("job_ended")
-        .With("job", id)
-        .With("phase", ToString(job->phase))
-        .With("known_for_ms", (BootClockNow() - job->first_seen_at).count())
-        .With("offset", offset);
+  if (job == nullptr || !job->ended() ||
+      ledger.ended_jobs() == ended_job_count_) {
+    return;
+  }
+  ended_job_count_ = ledger.ended_jobs();
+  metrics_.Add(job->phase == JobPhase::kCompleted ? Counter::kJobsDone
+               : job->phase == JobPhase::kFailed  ? Counter::kJobsFailed
+                                                  : Counter::kJobsCancelled);
+  LogEvent("job_ended")
+      .With("job", id)
+      .With("phase", ToString(job->phase))
+      .With("known_for_ms", (BootClockNow() - job->first_seen_at).count())
+      .With("offset", offset);
+}
+
+void EntryNode::LogWorkerCrash(const Ledger& ledger,
+                               const WorkerEmptied& record,
+                               std::int64_t offset) {
+  metrics_.Add(Counter::kWorkerCrashes);
+  const LedgerWorker* worker = ledger.FindWorker(record.incarnation);
+  LogEvent event("worker_crashed");
+  event.With("worker", ToString(record.incarnation)).With("offset", offset);
+  for (const CrashSuspect& suspect : worker->crash_suspects) {
+    event.With("task", ToString(suspect.task))
+        .With("crashed_workers", suspect.crashed_workers);
   }
 }
 
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -83,9 +83,17 @@
   // Waits until the log is replayed up to `end`. Empty: does nothing.
   std::size_t EntryCount() const;
   void AwaitReplay(std::optional<std::int64_t> end);
+  // Logs what a record has changed. Only the planner does, so that each line
+  // appears once.
+  void LogRecordEffects(const Ledger& ledger,
+                        const LedgerRecord& record,
+                        std::int64_t offset);
   void LogJobEnd(const Ledger& ledger,
-                 const LedgerRecord& record,
+                 const std::string& id,
                  std::int64_t offset);
+  void LogWorkerCrash(const Ledger& ledger,
+                      const WorkerEmptied& record,
+                      std::int64_t offset);
   void UpdateJobGauges();
   void LogPlan(const Dispatcher::Trace& trace,
                Duration took,
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -45,6 +45,7 @@
     {"tasks_refused_total", "Tasks refused by the worker"},
     {"tasks_stopped_total", "Tasks stopped on request"},
     {"lease_lapses_total", "Tasks whose lease lapsed"},
+    {"worker_crashes_total", "Workers whose process ended unannounced"},
 };
 
 constexpr MetricInfo kGauges[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -40,6 +40,7 @@
   kTasksRefused,     // Agent: tasks that the worker refused.
   kTasksStopped,     // Agent: tasks stopped on request.
   kLeaseLapses,      // Agent: tasks whose lease expired.
+  kWorkerCrashes,    // Planner: workers that crashed.
   kCount,
 };
 
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -37,6 +37,9 @@
     return true;
   }
   const bool was_leaving = is_same_incarnation && worker_->leaving;
+  if (worker_ && !is_same_incarnation && !has_departed_) {
+    EndIncarnation(Ending::kUnannounced, "a new incarnation reports");
+  }
   worker_ = heartbeat;
   worker_->leaving = heartbeat.leaving || was_leaving;
   is_adopted_ = false;
@@ -102,17 +105,34 @@
   if (!worker_ || worker_->incarnation.id != worker_id || has_departed_) {
     return;
   }
-  EndIncarnation("the worker has left");
+  EndIncarnation(Ending::kAnnounced, "the worker has left");
 }
 
-void Supervisor::EndIncarnation(const std::string& reason) {
+void Supervisor::EndIncarnation(Ending ending, const std::string& reason) {
   has_departed_ = true;
+  // An agent that has not heard the worker itself cannot tell a crash from a
+  // power loss, which ends the agent too.
+  const bool crashed = ending == Ending::kUnannounced && !worker_->leaving &&
+                       contact_.heard_at() != Time{0};
+  if (crashed) {
+    RefusePendingRuns("the worker has crashed");
+  }
   pending_records_.emplace_back(
       WorkerEmptied{.incarnation = worker_->incarnation,
                     .incarnation_ended = true,
+                    .crashed = crashed,
                     .reason = reason});
 }
 
+// Runs that were never sent to the worker have nothing to do with its end.
+void Supervisor::RefusePendingRuns(const std::string& reason) {
+  for (auto& [task, run] : runs_) {
+    if (run.phase == Phase::kPending && !run.outcome_queued) {
+      RecordRefusal(task, run, reason);
+    }
+  }
+}
+
 bool Supervisor::IsAcceptingWork(Time now) const {
   return worker_ && !has_departed_ && !worker_->leaving &&
          (!is_adopted_ || was_accepting_) && contact_.heard_at() != Time{0} &&
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -114,10 +114,12 @@
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
   void AdoptRecordedWorker(Time now, const Ledger& ledger);
+  enum class Ending { kAnnounced, kUnannounced };
   // The incarnation has ended, and its tasks with it.
-  void EndIncarnation(const std::string& reason);
+  void EndIncarnation(Ending ending, const std::string& reason);
   // Ends the incarnation if no process listens at its address any more.
   void CheckProcessEnded(Time now);
+  void RefusePendingRuns(const std::string& reason);
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
                      const std::string& reason);
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -15,7 +15,7 @@
 
 void Supervisor::CheckProcessEnded(Time now) {
   if (!has_departed_ && contact_.HasEnded(now)) {
-    EndIncarnation("no process listens at its address");
+    EndIncarnation(Ending::kUnannounced, "no process listens at its address");
   }
 }
 
@@ -51,7 +51,7 @@
   }
   if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
@@ -100,7 +100,7 @@
   CountReply(now, reply.kind);
   if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
@@ -163,7 +163,7 @@
        *reply.started_at_unix_ms != worker_->incarnation.started_at_unix_ms);
   if (is_other_incarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
