A task under which three workers have crashed fails its job; the third run is on trial

Cause: a crash ended the runs on the worker like an expired lease. Only runs that end as failed were counted, so the task was placed again 12 ms after each crash, on another worker. Class: a retry without a budget, because the failure is seen at the worker and not charged to what it ran.

Change: the job fails with the third worker that crashes under one of its tasks. Neighbours on a crashed worker are counted too, so a task with two such workers runs on trial: on a worker where nothing was started within the last second, and where nothing is started until it ends. A third crash is then its own. At most a quarter of the workers host trials.

Why not at the second crash, as the contract allows: neighbours are placed again together and would be given up with it.

--- a/src/dispatch/capacity_table.cc
+++ b/src/dispatch/capacity_table.cc
@@ -15,6 +15,14 @@
   return it == workers_.end() ? nullptr : &it->second;
 }
 
+void CapacityTable::MarkTrialHost(const WorkerIncarnation& incarnation) {
+  WorkerCapacity* worker = Find(incarnation);
+  if (worker != nullptr && !worker->hosts_trial) {
+    worker->hosts_trial = true;
+    ++trial_hosts_;
+  }
+}
+
 void CapacityTable::Reserve(const WorkerIncarnation& incarnation,
                             const TaskRef& task,
                             const Resources& need) {
--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -13,6 +13,11 @@
   const LedgerWorker* entry = nullptr;
   Resources free;               // Neither in use nor reserved by this plan.
   bool is_quarantined = false;  // Failed or refused lately.
+  // A unit on trial runs here or is planned for it, so that nothing else is
+  // started: if the worker crashes, that unit is to blame.
+  bool hosts_trial = false;
+  // The tasks that run here have not crashed it since the last one started.
+  bool is_settled = true;
   // Tasks that this plan places on the worker, by the first task of their step.
   std::map<TaskRef, std::int32_t> planned_tasks;
 };
@@ -45,6 +50,9 @@
   workers_by_rack() const {
     return workers_by_rack_;
   }
+  // Workers that host a unit on trial.
+  std::size_t trial_hosts() const { return trial_hosts_; }
+  void MarkTrialHost(const WorkerIncarnation& incarnation);
   // Reserves capacity for a task of the same step as `task`.
   void Reserve(const WorkerIncarnation& incarnation,
                const TaskRef& task,
@@ -59,6 +67,7 @@
   std::map<WorkerIncarnation, WorkerCapacity> workers_;
   std::vector<const WorkerCapacity*> worker_list_;
   std::map<std::string, std::vector<const WorkerCapacity*>> workers_by_rack_;
+  std::size_t trial_hosts_ = 0;
   mutable std::int64_t examined_workers_ = 0;
 };
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -49,12 +49,49 @@
     }
     const WorkerCapacity worker{.entry = entry,
                                 .free = entry->report.capacity - entry->used,
-                                .is_quarantined = IsQuarantined(in, *entry)};
+                                .is_quarantined = IsQuarantined(in, *entry),
+                                .is_settled = IsSettled(in, *entry)};
     table.Add(agent.incarnation, worker);
   }
+  MarkTrialHosts(in, table);
   return table;
 }
 
+bool Dispatcher::IsSettled(const Input& in, const LedgerWorker& worker) const {
+  return std::all_of(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& run) {
+        return in.now - run.second.first_seen_at >= options_.settling_time;
+      });
+}
+
+void Dispatcher::MarkTrialHosts(const Input& in, CapacityTable& table) {
+  for (const std::string& id : in.ledger.open_jobs()) {
+    for (const std::vector<StepState>& steps :
+         in.ledger.jobs().at(id).occurrences) {
+      for (const StepState& step : steps) {
+        MarkTrialHosts(step, table);
+      }
+    }
+  }
+}
+
+void Dispatcher::MarkTrialHosts(const StepState& step, CapacityTable& table) {
+  for (const RunUnit& unit : step.units) {
+    if (unit.MaxCrashes() < kTrialCrashedWorkers) {
+      continue;
+    }
+    for (const MemberPlace& m : unit.members) {
+      table.MarkTrialHost(m.incarnation);
+    }
+  }
+}
+
+bool Dispatcher::MayHostMoreTrials(const CapacityTable& table) const {
+  const double limit =
+      options_.max_trial_hosts * static_cast<double>(table.workers().size());
+  return static_cast<double>(table.trial_hosts()) < std::max(1.0, limit);
+}
+
 std::set<std::string> Dispatcher::JobsWithinGuarantee(const Input& in) const {
   // Accelerators wanted by the open jobs of priority 0, by account.
   std::map<std::string, std::int64_t> wanted_accelerators;
@@ -136,7 +173,9 @@
              .member_need = need,
              .due_at = due_at,
              .deadline = due_at + objective,
-             .outlook = outlook});
+             .outlook = outlook,
+             .needs_trial =
+                 state.units[u].MaxCrashes() >= kTrialCrashedWorkers});
       }
     }
   }
@@ -276,12 +315,21 @@
                                 .run = victim.run,
                                 .cause = StopCause::kReclaim});
   }
-  // Reserves the capacity, including what is free already, so that units later
-  // in the order cannot use it.
-  for (const MemberPlace& m : placement->members) {
+  // Includes what is free already, so that units later in the order cannot use
+  // it.
+  ReservePlacement(unit, *placement, table);
+  return true;
+}
+
+void Dispatcher::ReservePlacement(const WaitingUnit& unit,
+                                  const UnitPlacement& placement,
+                                  CapacityTable& table) {
+  for (const MemberPlace& m : placement.members) {
     table.Reserve(m.incarnation, unit.first_task, unit.member_need);
+    if (unit.needs_trial) {
+      table.MarkTrialHost(m.incarnation);
+    }
   }
-  return true;
 }
 
 std::vector<LedgerRecord> Dispatcher::Plan(const Input& in) const {
@@ -304,20 +352,21 @@
   std::set<TaskRef> unplaceable_steps;
   for (const WaitingUnit& unit : waiting_units) {
     const TaskRef step = FirstTaskOfStep(unit.first_task);
-    if (unplaceable_steps.contains(step)) {
+    if (unplaceable_steps.contains(step) ||
+        (unit.needs_trial && !MayHostMoreTrials(table))) {
       continue;
     }
     if (const std::optional<UnitPlacement> placement =
             FindPlacementWithFallback(in, table, unit)) {
       out.emplace_back(MakeRunStarted(in, unit, *placement));
-      for (const MemberPlace& m : placement->members) {
-        table.Reserve(m.incarnation, unit.first_task, unit.member_need);
-      }
+      ReservePlacement(unit, *placement, table);
       continue;
     }
     const bool may_preempt =
         unit.is_guaranteed || unit.job->request.terms.priority == 0;
-    if (!may_preempt || !Preempt(in, table, search, unit, stopped_units, out)) {
+    const bool has_room =
+        may_preempt && Preempt(in, table, search, unit, stopped_units, out);
+    if (!has_room && !unit.needs_trial) {
       unplaceable_steps.insert(step);
     }
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,6 +34,12 @@
     // differently.
     Duration refusal_backoff{300};
     Duration refusal_backoff_max{4000};
+    // A worker that has run its newest task for this long has not been crashed
+    // by it.
+    Duration settling_time{1000};
+    // Most workers, as a fraction of all, that may host units on trial; at
+    // least one may.
+    double max_trial_hosts = 0.25;
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
     double locality_wait_fraction = 0.6;
@@ -85,6 +91,14 @@
                           const LedgerJob& job,
                           std::vector<WaitingUnit>& out) const;
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
+  // Marks the workers that run units on trial.
+  static void MarkTrialHosts(const Input& in, CapacityTable& table);
+  static void MarkTrialHosts(const StepState& step, CapacityTable& table);
+  bool MayHostMoreTrials(const CapacityTable& table) const;
+  bool IsSettled(const Input& in, const LedgerWorker& worker) const;
+  static void ReservePlacement(const WaitingUnit& unit,
+                               const UnitPlacement& placement,
+                               CapacityTable& table);
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
   void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -50,7 +50,8 @@
                 const WorkerCapacity& worker,
                 const PlacementOptions& options) {
   const LedgerWorker& entry = *worker.entry;
-  if (worker.is_quarantined && !options.allow_quarantined) {
+  if ((worker.is_quarantined && !options.allow_quarantined) ||
+      !MayShare(unit, worker)) {
     return false;
   }
   if (!options.allow_failed_worker &&
@@ -151,6 +152,12 @@
 
 }  // namespace
 
+bool MayShare(const WaitingUnit& unit, const WorkerCapacity& worker) {
+  return !worker.hosts_trial &&
+         (!unit.needs_trial ||
+          (worker.is_settled && worker.planned_tasks.empty()));
+}
+
 std::int32_t MembersThatFit(const WaitingUnit& unit,
                             const WorkerCapacity& worker,
                             const Resources& available) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -39,6 +39,11 @@
 // member of the unit with nothing else running there.
 bool CanRunInDataRack(const CapacityTable& table, const WaitingUnit& unit);
 
+// True if nothing that runs on the worker or is planned for it forbids the
+// unit: a unit on trial shares a worker only with tasks that have run there for
+// a while, and nothing joins it.
+bool MayShare(const WaitingUnit& unit, const WorkerCapacity& worker);
+
 // Number of the unit's members that the worker could run in `available`.
 std::int32_t MembersThatFit(const WaitingUnit& unit,
                             const WorkerCapacity& worker,
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -127,7 +127,7 @@
   std::vector<Option> options;
   table_.CountExamined(workers.size());
   for (const WorkerCapacity* worker : workers) {
-    if (worker->is_quarantined) {
+    if (worker->is_quarantined || !MayShare(unit, *worker)) {
       continue;
     }
     Option option = FindOnWorker(*worker, unit, unit.member_count);
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -17,6 +17,8 @@
   Time deadline{0};       // The objective is to end by then.
   DeadlineOutlook outlook = DeadlineOutlook::kOnTime;
   bool is_guaranteed = false;  // Within its account's guarantee.
+  // Workers have crashed under it: see CapacityTable.
+  bool needs_trial = false;
 };
 
 }  // namespace marjoramplank
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -179,6 +179,9 @@
     CountCrash(it->second);
   }
   EndAllRuns(it->second);
+  if (r.crashed) {
+    FailCrashingJobs(it->second);
+  }
   it->second.report.accepting = false;
   it->second.incarnation_ended = r.incarnation_ended;
   return true;
@@ -477,6 +480,16 @@
   }
 }
 
+void Ledger::FailCrashingJobs(const LedgerWorker& worker) {
+  for (const CrashSuspect& suspect : worker.crash_suspects) {
+    const auto it = jobs_.find(suspect.task.job);
+    if (it != jobs_.end() && !it->second.ended() &&
+        suspect.crashed_workers >= kMaxCrashedWorkers) {
+      EndJob(it->second, JobPhase::kFailed);
+    }
+  }
+}
+
 void Ledger::EndAllRuns(LedgerWorker& worker) {
   const std::map<TaskRef, LiveRun> ended_runs = std::move(worker.runs);
   worker.runs.clear();
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -193,6 +193,8 @@
   void EndAllRuns(LedgerWorker& worker);
   // Counts the crash for every task that runs on the worker.
   void CountCrash(LedgerWorker& worker);
+  // Fails the jobs of tasks that crash the workers that run them.
+  void FailCrashingJobs(const LedgerWorker& worker);
 
   std::map<std::string, LedgerJob> jobs_;
   std::set<std::string> open_jobs_;  // Not ended.
@@ -209,6 +211,14 @@
   std::int64_t ended_count_ = 0;  // Not replicated.
 };
 
+// A job fails once this many workers have crashed while they ran one of its
+// tasks: the task crashes them.
+inline constexpr std::int32_t kMaxCrashedWorkers = 3;
+
+// From this many on, a task runs on trial: see Dispatcher. The next crash is
+// then certain to be its own.
+inline constexpr std::int32_t kTrialCrashedWorkers = kMaxCrashedWorkers - 1;
+
 // Ended jobs that are kept for status queries. At 59,000 jobs a day this covers
 // 8 hours.
 inline constexpr std::size_t kMaxEndedJobs = 20'000;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -228,6 +228,7 @@
   for (const CrashSuspect& suspect : worker->crash_suspects) {
     event.With("task", ToString(suspect.task))
         .With("crashed_workers", suspect.crashed_workers);
+    LogJobEnd(ledger, suspect.task.job, offset);
   }
 }
 
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -60,6 +60,24 @@
     RC_ASSERT(violations.empty());
   });
 
+  // Guards against a task that crashes one worker after the other.
+  rc::prop(
+      "a task that crashes its workers is given up, its neighbours are not",
+      [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const bool has_other_faults = *rc::gen::arbitrary<bool>();
+        JobSimulation simulation(
+            {.seed = seed,
+             .simulated_time = 80s,
+             .lost_reply_share = has_other_faults ? 0.05 : 0,
+             .agent_restarts_per_s = has_other_faults ? 0.1 : 0,
+             .planner_changes_per_s = 0.3,
+             .crashing_job_share = 0.3});
+        const std::string violations = Join(simulation.Run());
+        RC_LOG() << "seed " << seed << "\n" << violations;
+        RC_ASSERT(violations.empty());
+      });
+
   rc::prop("guaranteed jobs start in time on fully used workers", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const int jobs = *rc::gen::inRange(12, 60);
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -72,6 +72,7 @@
   }
   for (const auto& [task, run] : w.runs) {
     task_histories_[task].running_on.erase(w.incarnation.id);
+    ++task_histories_[task].crashed_workers;
     if (run.gang) {
       GangRunOf(task, run.run).has_failed_member = true;
     }
@@ -82,6 +83,37 @@
   agent.next_worker_heartbeat_at = now_ + kDowntime;
 }
 
+bool JobSimulation::CrashesWorker(const TaskRef& task) const {
+  return crashing_jobs_.contains(task.job) && task.step == 0 && task.index == 0;
+}
+
+// A task that crashes workers may be started twice more after the third crash.
+void JobSimulation::CheckCrashBudget(const TaskRef& task) {
+  constexpr std::int32_t kCrashes = 3;
+  constexpr std::int32_t kMaxStartsAfter = 2;
+  TaskHistory& history = task_histories_[task];
+  if (CrashesWorker(task) && history.crashed_workers >= kCrashes &&
+      ++history.starts_after_third_crash > kMaxStartsAfter) {
+    ReportViolation(ToString(task) +
+                    " started three times more after three workers had "
+                    "crashed under it");
+  }
+}
+
+void JobSimulation::CheckEndOfJobs() {
+  for (const auto& [id, job] : planner_ledger_.jobs()) {
+    if (!job.ended()) {
+      ReportViolation("job " + id + " never ended");
+    }
+    const bool may_fail = options_.failed_run_share > 0 ||
+                          options_.worker_crashes_per_s > 0 ||
+                          crashing_jobs_.contains(id);
+    if (job.phase == JobPhase::kFailed && !may_fail) {
+      ReportViolation("job " + id + " failed without a fault of its own");
+    }
+  }
+}
+
 void JobSimulation::LoseWorker(Agent& agent) {
   if (agent.worker.is_lost ||
       (lost_workers_ + 1) * 2 > static_cast<int>(agents_.size())) {
@@ -145,6 +177,10 @@
     Append(JobSubmitted{.request = job});
     requests_[job.id] = job;
     submit_times_[job.id] = now_;
+    if (options_.crashing_job_share > 0 &&
+        RandomBool(options_.crashing_job_share)) {
+      crashing_jobs_.insert(job.id);
+    }
     if (RandomBool(options_.cancelled_job_share)) {
       cancel_times_[job.id] = now_ + Duration(200 + random_() % 3000);
     }
@@ -233,6 +269,8 @@
     ReportViolation(ToString(start.task) +
                     " started after its job was cancelled");
   }
+  CheckCrashBudget(start.task);
+  w.is_crashing = w.is_crashing || CrashesWorker(start.task);
   CheckDataCentreOpen(start.task, w.incarnation);
   history.running_on.insert(w.incarnation.id);
   constexpr Duration kMinRunTime = 500ms;
@@ -487,6 +525,9 @@
       InjectFaults();
     }
     for (auto& agent : agents_) {
+      if (agent->worker.is_crashing) {
+        CrashWorker(*agent);
+      }
       StepWorker(agent->worker);
       StepAgent(*agent);
     }
@@ -494,11 +535,7 @@
     RunPlanner();
     CheckGuarantees();
   }
-  for (const auto& [id, job] : planner_ledger_.jobs()) {
-    if (!job.ended()) {
-      ReportViolation("job " + id + " never ended");
-    }
-  }
+  CheckEndOfJobs();
   return violations_;
 }
 
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -45,6 +45,8 @@
     double cancelled_job_share = 0;
     // Share of runs that fail.
     double failed_run_share = 0;
+    // Share of jobs of which one task crashes every worker that starts it.
+    double crashing_job_share = 0;
     // Rate at which an agent loses the log for 6 s.
     double log_outages_per_s = 0;
     // Rate at which a data centre is closed for 6 s.
@@ -95,6 +97,9 @@
   bool HasStarted(const std::string& job, const JobRequest& request) const;
   void RestartAgent(Agent& agent);
   void CrashWorker(Agent& agent);
+  bool CrashesWorker(const TaskRef& task) const;
+  void CheckCrashBudget(const TaskRef& task);
+  void CheckEndOfJobs();
   void LoseWorker(Agent& agent);
   void LosePower();
   void ReplacePlanner();
@@ -120,6 +125,7 @@
   std::map<std::string, Time> submit_times_;
   // Jobs that were beyond the guarantee at some time; their start has no bound.
   std::set<std::string> beyond_guarantee_;
+  std::set<std::string> crashing_jobs_;
   std::map<std::string, std::string> data_centre_of_worker_;  // By worker name.
   std::map<std::string, Time> closed_since_;  // Closing time, by data centre.
   bool delivering_delayed_command_ = false;
--- a/tests/support/job_simulation_parts.h
+++ b/tests/support/job_simulation_parts.h
@@ -23,7 +23,8 @@
 
 struct JobSimulation::FakeWorker {
   WorkerIncarnation incarnation;
-  bool is_lost = false;  // Its process is gone: no heartbeat, no answer.
+  bool is_lost = false;      // Its process is gone: no heartbeat, no answer.
+  bool is_crashing = false;  // A task has just made it crash.
   std::int64_t fence = 0;
   std::int64_t lease_until = 0;  // Worker's clock, ms; equals simulated time.
   std::map<TaskRef, FakeWorkerRun> runs;
@@ -71,6 +72,8 @@
   bool done_acknowledged = false;    // The agent acknowledged its completion.
   Time last_started_at{0};
   std::int32_t failed_runs = 0;
+  std::int32_t crashed_workers = 0;  // That ran it at the time.
+  std::int32_t starts_after_third_crash = 0;
 };
 
 }  // namespace marjoramplank
