Agent: refuse a start that no longer fits the worker's capacity

The planner already counts from the latest report and counts what is being stopped; an order that was decided before the worker said that it has less room was still sent, for up to the start window.

Change: before a start is sent, the agent compares the worker's present capacity with all that the worker may be running; what does not fit is refused, and the planner places it elsewhere.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -230,6 +230,7 @@
       const LedgerJob* job = ledger.FindJob(task.job);
       run = {.run = live.run,
              .is_gang = live.gang,
+             .need = live.need,
              .payload = live.payload,
              .start_checkpoint = live.checkpoint,
              // The order is newer than the last time that the ledger was
@@ -251,6 +252,16 @@
   ledger_current_at_ = now;
 }
 
+bool Supervisor::HasRoomFor(const LocalRun& run) const {
+  Resources free = worker_->capacity;
+  for (const auto& [task, other] : runs_) {
+    if (other.phase != Phase::kPending && !other.outcome_queued) {
+      free -= other.need;
+    }
+  }
+  return run.need.FitsIn(free);
+}
+
 std::vector<TaskCommand> Supervisor::TakeCommands(Time now) {
   std::vector<TaskCommand> out;
   if (!worker_ || has_departed_ || !is_ledger_current_ || fence_ == 0) {
@@ -289,6 +300,10 @@
       RecordRefusal(task, run, "could not be started in time");
       continue;
     }
+    if (!HasRoomFor(run)) {
+      RecordRefusal(task, run, "the worker's capacity has shrunk");
+      continue;
+    }
     if (!contact_.IsReachable(now)) {
       RecordRefusal(task, run, "the worker cannot be reached");
       continue;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -96,6 +96,7 @@
     // Its end or refusal has been returned for the log, or is about to be.
     bool outcome_queued = false;
     bool is_gang = false;
+    Resources need;
     bool is_long_running = false;  // Runs until cancelled, so it cannot stall.
     std::string payload;
     std::string start_checkpoint;   // To start from.
@@ -119,6 +120,9 @@
   void EndIncarnation(Ending ending, const std::string& reason);
   // Ends the incarnation if no process listens at its address any more.
   void CheckProcessEnded(Time now);
+  // True if the worker's present capacity has room for the run beside all that
+  // it may be running, including what is being stopped.
+  bool HasRoomFor(const LocalRun& run) const;
   void RefusePendingRuns(const std::string& reason);
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
