Only runs that were started just before a crash are blamed for it; a trial ends when its run is settled

A trial keeps others off its worker for 2.5 s, the longest delay from a decision to its start plus half a second; if no worker is settled, the one that is next to be is kept free. A trial takes the emptiest worker. One log line a suspect.

Tests: the section on what joins a trial checked nothing, because the heartbeats were too old at its time; it now requires other starts. The simulation accepts a failed job only with a cause: a failed run, or two workers that crashed under one of its tasks; and with no other crashes only the jobs that cause them.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,6 +21,18 @@
 
 }  // namespace
 
+namespace {
+
+Time NewestStart(const LedgerWorker& worker) {
+  Time newest{0};
+  for (const auto& [task, run] : worker.runs) {
+    newest = std::max(newest, run.first_seen_at);
+  }
+  return newest;
+}
+
+}  // namespace
+
 bool Dispatcher::IsQuarantined(const Input& in,
                                const LedgerWorker& worker) const {
   const Duration since_trouble = in.now - worker.last_failure_at;
@@ -58,32 +70,37 @@
 }
 
 bool Dispatcher::IsSettled(const Input& in, const LedgerWorker& worker) const {
-  return std::all_of(
-      worker.runs.begin(), worker.runs.end(), [&](const auto& run) {
-        return in.now - run.second.first_seen_at >= options_.settling_time;
-      });
+  return in.now - NewestStart(worker) >= options_.settling_time;
 }
 
-void Dispatcher::MarkTrialHosts(const Input& in, CapacityTable& table) {
-  for (const std::string& id : in.ledger.open_jobs()) {
-    for (const std::vector<StepState>& steps :
-         in.ledger.jobs().at(id).occurrences) {
-      for (const StepState& step : steps) {
-        MarkTrialHosts(step, table);
+// A trial lasts until its run is settled. What crashes the worker afterwards is
+// not its doing.
+void Dispatcher::MarkTrialHosts(const Input& in, CapacityTable& table) const {
+  for (const WorkerCapacity* worker : table.workers()) {
+    for (const auto& [task, run] : worker->entry->runs) {
+      if (in.now - run.first_seen_at < options_.settling_time &&
+          in.ledger.CrashedWorkers(task) >= kTrialCrashedWorkers) {
+        table.MarkTrialHost(worker->entry->report.incarnation);
       }
     }
   }
 }
 
-void Dispatcher::MarkTrialHosts(const StepState& step, CapacityTable& table) {
-  for (const RunUnit& unit : step.units) {
-    if (unit.MaxCrashes() < kTrialCrashedWorkers) {
-      continue;
-    }
-    for (const MemberPlace& m : unit.members) {
-      table.MarkTrialHost(m.incarnation);
+void Dispatcher::ReserveForTrial(const WaitingUnit& unit,
+                                 CapacityTable& table) {
+  const WorkerCapacity* best = nullptr;
+  for (const WorkerCapacity* worker : table.workers()) {
+    const bool fits = !worker->hosts_trial && !worker->is_quarantined &&
+                      MembersThatFit(unit, *worker, worker->free) > 0;
+    if (fits && (best == nullptr ||
+                 NewestStart(*worker->entry) < NewestStart(*best->entry))) {
+      best = worker;
     }
   }
+  table.CountExamined(table.workers().size());
+  if (best != nullptr) {
+    table.MarkTrialHost(best->entry->report.incarnation);
+  }
 }
 
 bool Dispatcher::MayHostMoreTrials(const CapacityTable& table) const {
@@ -366,7 +383,12 @@
         unit.is_guaranteed || unit.job->request.terms.priority == 0;
     const bool has_room =
         may_preempt && Preempt(in, table, search, unit, stopped_units, out);
-    if (!has_room && !unit.needs_trial) {
+    if (has_room) {
+      continue;
+    }
+    if (unit.needs_trial) {
+      ReserveForTrial(unit, table);
+    } else {
       unplaceable_steps.insert(step);
     }
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,9 +34,10 @@
     // differently.
     Duration refusal_backoff{300};
     Duration refusal_backoff_max{4000};
-    // A worker that has run its newest task for this long has not been crashed
-    // by it.
-    Duration settling_time{1000};
+    // A task that crashes its worker does so as it starts. A worker that was
+    // given no task for this long has survived them all: the longest delay from
+    // the decision to the start, and half a second.
+    Duration settling_time{2500};
     // Most workers, as a fraction of all, that may host units on trial; at
     // least one may.
     double max_trial_hosts = 0.25;
@@ -92,10 +93,11 @@
                           std::vector<WaitingUnit>& out) const;
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
   // Marks the workers that run units on trial.
-  static void MarkTrialHosts(const Input& in, CapacityTable& table);
-  static void MarkTrialHosts(const StepState& step, CapacityTable& table);
+  void MarkTrialHosts(const Input& in, CapacityTable& table) const;
   bool MayHostMoreTrials(const CapacityTable& table) const;
   bool IsSettled(const Input& in, const LedgerWorker& worker) const;
+  // Keeps the worker that is next to be settled free for the unit.
+  static void ReserveForTrial(const WaitingUnit& unit, CapacityTable& table);
   static void ReservePlacement(const WaitingUnit& unit,
                                const UnitPlacement& placement,
                                CapacityTable& table);
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -100,6 +100,9 @@
     return a.free_score != b.free_score ? a.free_score < b.free_score
                                         : Id(*a.worker) < Id(*b.worker);
   });
+  if (unit.needs_trial) {
+    std::reverse(out.begin(), out.end());  // Least is lost with an empty one.
+  }
   return out;
 }
 
@@ -153,9 +156,13 @@
 }  // namespace
 
 bool MayShare(const WaitingUnit& unit, const WorkerCapacity& worker) {
-  return !worker.hosts_trial &&
-         (!unit.needs_trial ||
-          (worker.is_settled && worker.planned_tasks.empty()));
+  if (worker.hosts_trial || !unit.needs_trial) {
+    return !worker.hosts_trial;
+  }
+  // The workers of a gang are never all settled at once. Its crashes are
+  // counted by member, which tells enough.
+  return worker.planned_tasks.empty() &&
+         (worker.is_settled || unit.member_count > 1);
 }
 
 std::int32_t MembersThatFit(const WaitingUnit& unit,
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -100,6 +100,7 @@
       gone @6 : Bool;
       reason @7 : Text;
       crashed @41 : Bool;
+      suspects @42 : List(SuspectRun);
     }
     plannerElected : group {
       entry @8 : Text;
@@ -161,6 +162,11 @@
   crashes @9 : List(TaskCrashes);
 }
 
+struct SuspectRun {
+  task @0 : Task;
+  run @1 : Int32;
+}
+
 struct TaskCrashes {
   index @0 : Int32;
   workers @1 : Int32;
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -1,6 +1,7 @@
 #include "src/jobs/ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjoramplank {
 
@@ -176,7 +177,7 @@
     return false;
   }
   if (r.crashed) {
-    CountCrash(it->second);
+    CountCrash(it->second, r);
   }
   EndAllRuns(it->second);
   if (r.crashed) {
@@ -333,12 +334,25 @@
   return true;
 }
 
+std::int32_t Ledger::CrashedWorkers(const TaskRef& task) const {
+  const RunUnit* unit = FindUnit(task);
+  if (unit == nullptr) {
+    return 0;
+  }
+  const auto it = unit->crashes.find(task.index);
+  return it == unit->crashes.end() ? 0 : it->second;
+}
+
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
+  return const_cast<RunUnit*>(std::as_const(*this).FindUnit(task));
+}
+
+const RunUnit* Ledger::FindUnit(const TaskRef& task) const {
   const auto it = jobs_.find(task.job);
   if (it == jobs_.end()) {
     return nullptr;
   }
-  LedgerJob& job = it->second;
+  const LedgerJob& job = it->second;
   const TaskRef first = FirstTaskOfUnit(job, task);
   const auto k = static_cast<std::size_t>(first.occurrence);
   const auto s = static_cast<std::size_t>(first.step);
@@ -469,13 +483,17 @@
   }
 }
 
-void Ledger::CountCrash(LedgerWorker& worker) {
+void Ledger::CountCrash(LedgerWorker& worker, const WorkerEmptied& r) {
   worker.crash_suspects.clear();
-  for (const auto& [task, run] : worker.runs) {
-    RunUnit* unit = FindUnit(task);
-    if (unit != nullptr && unit->run == run.run) {
+  for (const SuspectRun& suspect : r.suspects) {
+    const auto live = worker.runs.find(suspect.task);
+    RunUnit* unit = FindUnit(suspect.task);
+    if (live != worker.runs.end() && live->second.run == suspect.run &&
+        unit != nullptr && unit->run == suspect.run &&
+        unit->phase == RunUnit::Phase::kRunning) {
       worker.crash_suspects.push_back(
-          {.task = task, .crashed_workers = ++unit->crashes[task.index]});
+          {.task = suspect.task,
+           .crashed_workers = ++unit->crashes[suspect.task.index]});
     }
   }
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -29,11 +29,11 @@
   std::vector<MemberPlace> members;  // Placement of the current run.
   // Workers on which a run has failed.
   std::set<WorkerIncarnation> failed_on_workers;
-  // Workers that crashed while they ran a task of the unit, by the task's
-  // index.
+  // Workers that crashed right after they had started a task of the unit, by
+  // the task's index.
   std::map<std::int32_t, std::int32_t> crashes;
 
-  // Most workers that crashed under one of its tasks.
+  // The count of the task that has the most.
   std::int32_t MaxCrashes() const;
 
   friend bool operator==(const RunUnit&, const RunUnit&) = default;
@@ -76,7 +76,7 @@
   Time first_seen_at{0};     // When this process first read it. Not replicated.
 };
 
-// A task that was running on a worker when it crashed.
+// A task that had just been started on a worker when it crashed.
 struct CrashSuspect {
   TaskRef task;
   std::int32_t crashed_workers = 0;  // Under this task so far.
@@ -128,6 +128,8 @@
 
   const LedgerJob* FindJob(const std::string& id) const;
   const LedgerWorker* FindWorker(const WorkerIncarnation& incarnation) const;
+  // Workers that have crashed under the task. 0: none, or an unknown task.
+  std::int32_t CrashedWorkers(const TaskRef& task) const;
   const LedgerAgent* FindAgent(const std::string& agent) const;
   const std::map<std::string, LedgerJob>& jobs() const { return jobs_; }
   const std::map<WorkerIncarnation, LedgerWorker>& workers() const {
@@ -175,6 +177,7 @@
   bool MayStart(const RunStarted& r) const;
   // Null: unknown job, occurrence, step or task.
   RunUnit* FindUnit(const TaskRef& task);
+  const RunUnit* FindUnit(const TaskRef& task) const;
   // Frees the resources of a run. Returns false if the worker does not hold it.
   bool ReleaseRun(LedgerWorker& worker, const TaskRef& task, std::int32_t run);
   // Updates the unit of a member that has ended or was not started.
@@ -191,8 +194,8 @@
   void EndJob(LedgerJob& job, JobPhase phase);
   // Ends every run on the worker as if its lease had expired.
   void EndAllRuns(LedgerWorker& worker);
-  // Counts the crash for every task that runs on the worker.
-  void CountCrash(LedgerWorker& worker);
+  // Counts the crash for the tasks that may have caused it.
+  void CountCrash(LedgerWorker& worker, const WorkerEmptied& r);
   // Fails the jobs of tasks that crash the workers that run them.
   void FailCrashingJobs(const LedgerWorker& worker);
 
@@ -211,8 +214,8 @@
   std::int64_t ended_count_ = 0;  // Not replicated.
 };
 
-// A job fails once this many workers have crashed while they ran one of its
-// tasks: the task crashes them.
+// A job fails once this many workers have crashed right after they had started
+// one of its tasks: the task crashes them.
 inline constexpr std::int32_t kMaxCrashedWorkers = 3;
 
 // From this many on, a task runs on trial: see Dispatcher. The next crash is
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -47,6 +47,11 @@
   w.setEpoch(r.epoch);
   w.setGone(r.incarnation_ended);
   w.setCrashed(r.crashed);
+  auto suspects = w.initSuspects(static_cast<unsigned>(r.suspects.size()));
+  for (unsigned i = 0; i < suspects.size(); ++i) {
+    ToWire(r.suspects[i].task, suspects[i].initTask());
+    suspects[i].setRun(r.suspects[i].run);
+  }
   w.setReason(r.reason);
 }
 void WriteRecord(const PlannerElected& r, WireRecord::Builder out) {
@@ -120,11 +125,16 @@
       return FromWire(in.getWorkerReported());
     case WireRecord::WORKER_EMPTIED: {
       const auto w = in.getWorkerEmptied();
-      return WorkerEmptied{.incarnation = FromWire(w.getLife()),
-                           .epoch = w.getEpoch(),
-                           .incarnation_ended = w.getGone(),
-                           .crashed = w.getCrashed(),
-                           .reason = FromWire(w.getReason())};
+      WorkerEmptied out{.incarnation = FromWire(w.getLife()),
+                        .epoch = w.getEpoch(),
+                        .incarnation_ended = w.getGone(),
+                        .crashed = w.getCrashed(),
+                        .reason = FromWire(w.getReason())};
+      for (const auto suspect : w.getSuspects()) {
+        out.suspects.push_back(
+            {.task = FromWire(suspect.getTask()), .run = suspect.getRun()});
+      }
+      return out;
     }
     case WireRecord::PLANNER_ELECTED: {
       const auto w = in.getPlannerElected();
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -25,6 +25,13 @@
 };
 std::string ToString(const WorkerIncarnation& incarnation);  // "id@start time".
 
+// A run that had just been started on a worker when it crashed.
+struct SuspectRun {
+  TaskRef task;
+  std::int32_t run = 1;
+  friend bool operator==(const SuspectRun&, const SuspectRun&) = default;
+};
+
 struct JobSubmitted {
   JobRequest request;
   friend bool operator==(const JobSubmitted&, const JobSubmitted&) = default;
@@ -83,6 +90,8 @@
   bool incarnation_ended = false;
   // Its process ended without having announced it, while its agent watched.
   bool crashed = false;
+  // Which of its runs may have crashed it. Empty: none was started lately.
+  std::vector<SuspectRun> suspects;
   std::string reason;
   friend bool operator==(const WorkerEmptied&, const WorkerEmptied&) = default;
 };
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry_node.h"
 
+#include <set>
 #include <utility>
 
 #include "src/jobs/ledger_snapshot.h"
@@ -189,13 +190,27 @@
   if (ledger.planner() != leadership_.id()) {
     return;
   }
+  const bool has_ended_jobs = ledger.ended_jobs() != ended_job_count_;
+  ended_job_count_ = ledger.ended_jobs();
+  const auto* emptied = std::get_if<WorkerEmptied>(&record);
+  if (emptied != nullptr && emptied->crashed) {
+    LogWorkerCrash(ledger, *emptied, offset);
+  }
+  if (!has_ended_jobs) {
+    return;
+  }
   if (const auto* ended = std::get_if<TaskEnded>(&record)) {
     LogJobEnd(ledger, ended->task.job, offset);
   } else if (const auto* cancelled = std::get_if<JobCancelled>(&record)) {
     LogJobEnd(ledger, cancelled->job, offset);
-  } else if (const auto* emptied = std::get_if<WorkerEmptied>(&record);
-             emptied != nullptr && emptied->crashed) {
-    LogWorkerCrash(ledger, *emptied, offset);
+  } else if (emptied != nullptr) {
+    std::set<std::string> jobs;
+    for (const SuspectRun& suspect : emptied->suspects) {
+      jobs.insert(suspect.task.job);
+    }
+    for (const std::string& id : jobs) {
+      LogJobEnd(ledger, id, offset);
+    }
   }
 }
 
@@ -203,11 +218,9 @@
                           const std::string& id,
                           std::int64_t offset) {
   const LedgerJob* job = ledger.FindJob(id);
-  if (job == nullptr || !job->ended() ||
-      ledger.ended_jobs() == ended_job_count_) {
+  if (job == nullptr || !job->ended()) {
     return;
   }
-  ended_job_count_ = ledger.ended_jobs();
   metrics_.Add(job->phase == JobPhase::kCompleted ? Counter::kJobsDone
                : job->phase == JobPhase::kFailed  ? Counter::kJobsFailed
                                                   : Counter::kJobsCancelled);
@@ -222,13 +235,17 @@
                                const WorkerEmptied& record,
                                std::int64_t offset) {
   metrics_.Add(Counter::kWorkerCrashes);
+  LogEvent("worker_crashed")
+      .With("worker", ToString(record.incarnation))
+      .With("suspects", record.suspects.size())
+      .With("reason", record.reason)
+      .With("offset", offset);
   const LedgerWorker* worker = ledger.FindWorker(record.incarnation);
-  LogEvent event("worker_crashed");
-  event.With("worker", ToString(record.incarnation)).With("offset", offset);
   for (const CrashSuspect& suspect : worker->crash_suspects) {
-    event.With("task", ToString(suspect.task))
+    LogEvent("crash_suspect")
+        .With("task", ToString(suspect.task))
+        .With("worker", ToString(record.incarnation))
         .With("crashed_workers", suspect.crashed_workers);
-    LogJobEnd(ledger, suspect.task.job, offset);
   }
 }
 
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -17,6 +17,9 @@
 constexpr Duration kUnrecordedEndsHoldInterval = 400ms;
 // Least time between two rounds of recorded observations.
 constexpr Duration kObservationInterval = 800ms;
+// A task that crashes workers does so as it starts. One that has run for this
+// long, measured to the first sign of the crash, is not to blame.
+constexpr Duration kCrashBlameWindow = 2s;
 // Most starts and stops that are returned at once.
 constexpr std::size_t kMaxCallsAtOnce = 64;
 
@@ -114,23 +117,25 @@
   // power loss, which ends the agent too.
   const bool crashed = ending == Ending::kUnannounced && !worker_->leaving &&
                        contact_.heard_at() != Time{0};
+  WorkerEmptied record{.incarnation = worker_->incarnation,
+                       .incarnation_ended = true,
+                       .crashed = crashed,
+                       .reason = reason};
   if (crashed) {
-    RefusePendingRuns("the worker has crashed");
+    record.suspects = RunsStartedBefore(
+        contact_.IsFailing() ? contact_.failing_since() : contact_.heard_at());
   }
-  pending_records_.emplace_back(
-      WorkerEmptied{.incarnation = worker_->incarnation,
-                    .incarnation_ended = true,
-                    .crashed = crashed,
-                    .reason = reason});
+  pending_records_.emplace_back(std::move(record));
 }
 
-// Runs that were never sent to the worker have nothing to do with its end.
-void Supervisor::RefusePendingRuns(const std::string& reason) {
-  for (auto& [task, run] : runs_) {
-    if (run.phase == Phase::kPending && !run.outcome_queued) {
-      RecordRefusal(task, run, reason);
+std::vector<SuspectRun> Supervisor::RunsStartedBefore(Time crash) const {
+  std::vector<SuspectRun> out;
+  for (const auto& [task, run] : runs_) {
+    if (run.begun_at != Time{0} && crash - run.begun_at < kCrashBlameWindow) {
+      out.push_back({.task = task, .run = run.run});
     }
   }
+  return out;
 }
 
 bool Supervisor::IsAcceptingWork(Time now) const {
@@ -313,6 +318,7 @@
     }
     run.phase = Phase::kStarting;
     run.start_sent = true;
+    run.begun_at = now;
     contact_.OnStartSent(now + options_.leases.MaxLeaseDuration());
     out.emplace_back(StartCall{.incarnation = worker_->incarnation,
                                .fence = fence_,
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -107,6 +107,9 @@
     // When it was ordered at the earliest: the last time before that the ledger
     // was current. At the first read of this process: the time of reading.
     Time ordered_at{0};
+    // When the worker started it, or may have. 0: it has not, or an earlier
+    // process of the agent sent the start.
+    Time begun_at{0};
     Time last_progress_at{0};
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
@@ -123,7 +126,8 @@
   // True if the worker's present capacity has room for the run beside all that
   // it may be running, including what is being stopped.
   bool HasRoomFor(const LocalRun& run) const;
-  void RefusePendingRuns(const std::string& reason);
+  // Runs that the worker had started, or may have, shortly before `crash`.
+  std::vector<SuspectRun> RunsStartedBefore(Time crash) const;
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
                      const std::string& reason);
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -11,6 +11,11 @@
 // A run that is still listed this long after an accepted stop is stopped again.
 constexpr Duration kAcceptedStopRetryInterval = 1500ms;
 
+bool MayHaveBegun(CommandReply::Kind kind) {
+  return kind == CommandReply::Kind::kDone ||
+         kind == CommandReply::Kind::kNoAnswer;
+}
+
 }  // namespace
 
 void Supervisor::CheckProcessEnded(Time now) {
@@ -45,6 +50,11 @@
   }
   UpdateWorkerClock(now, reply.clock_ms);
   const auto it = runs_.find(call.task);
+  if (it != runs_.end() && it->second.run == call.run) {
+    // Before the reply may end the incarnation: only what the worker may have
+    // started can have crashed it.
+    it->second.begun_at = MayHaveBegun(reply.kind) ? now : Time{0};
+  }
   CountReply(now, reply.kind);
   if (reply.kind == CommandReply::Kind::kNoAnswer) {
     needs_resolution_ = true;
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -57,6 +57,8 @@
   // When the worker last sent anything. 0: nothing yet in this process.
   Time heard_at() const { return heard_at_; }
   bool IsReachable(Time now) const;
+  // Time of the first of the calls in a row without an answer. 0: none.
+  Time failing_since() const { return failing_since_; }
   bool IsFailing() const { return failing_since_ != Time{0}; }
   bool MayRenewLeases(Time now) const;
   // Time to wait between two listings: doubles while the worker does not
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -99,6 +99,7 @@
   void CrashWorker(Agent& agent);
   bool CrashesWorker(const TaskRef& task) const;
   void CheckCrashBudget(const TaskRef& task);
+  bool MayFail(const std::string& job) const;
   void CheckEndOfJobs();
   void LoseWorker(Agent& agent);
   void LosePower();
