--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -26,6 +26,11 @@
   const LedgerWorker* entry = nullptr;
   Resources free;               // Neither in use nor reserved by this plan.
   bool is_quarantined = false;  // Failed or refused lately.
+  // A unit on trial runs here or is planned for it, so that nothing else is
+  // started: if the worker crashes, that unit is to blame.
+  bool hosts_trial = false;
+  // The tasks that run here have not crashed it since the last one started.
+  bool is_settled = true;
   // Tasks that this plan places on the worker, by the first task of their step.
   std::map<TaskRef, std::int32_t> planned_tasks;
   std::vector<Release> planned_releases;  // By these tasks.
@@ -60,6 +65,9 @@
   workers_by_rack() const {
     return workers_by_rack_;
   }
+  // Workers that host a unit on trial.
+  std::size_t trial_hosts() const { return trial_hosts_; }
+  void MarkTrialHost(const WorkerIncarnation& incarnation);
   // Takes the capacity for a member of the unit.
   void Reserve(const WorkerIncarnation& incarnation, const WaitingUnit& unit);
   // Searches call this with the number of workers that they examine.
@@ -72,6 +80,7 @@
   std::map<WorkerIncarnation, WorkerCapacity> workers_;
   std::vector<const WorkerCapacity*> worker_list_;
   std::map<std::string, std::vector<const WorkerCapacity*>> workers_by_rack_;
+  std::size_t trial_hosts_ = 0;
   mutable std::int64_t examined_workers_ = 0;
 };
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,6 +21,18 @@
 
 }  // namespace
 
+namespace {
+
+Time NewestStart(const LedgerWorker& worker) {
+  Time newest{0};
+  for (const auto& [task, run] : worker.runs) {
+    newest = std::max(newest, run.first_seen_at);
+  }
+  return newest;
+}
+
+}  // namespace
+
 bool Dispatcher::IsQuarantined(const Input& in,
                                const LedgerWorker& worker) const {
   const Duration since_trouble = in.now - worker.last_failure_at;
@@ -49,12 +61,54 @@
     }
     const WorkerCapacity worker{.entry = entry,
                                 .free = entry->report.capacity - entry->used,
-                                .is_quarantined = IsQuarantined(in, *entry)};
+                                .is_quarantined = IsQuarantined(in, *entry),
+                                .is_settled = IsSettled(in, *entry)};
     table.Add(agent.incarnation, worker);
   }
+  MarkTrialHosts(in, table);
   return table;
 }
 
+bool Dispatcher::IsSettled(const Input& in, const LedgerWorker& worker) const {
+  return in.now - NewestStart(worker) >= options_.settling_time;
+}
+
+// A trial lasts until its run is settled. What crashes the worker afterwards is
+// not its doing.
+void Dispatcher::MarkTrialHosts(const Input& in, CapacityTable& table) const {
+  for (const WorkerCapacity* worker : table.workers()) {
+    for (const auto& [task, run] : worker->entry->runs) {
+      if (in.now - run.first_seen_at < options_.settling_time &&
+          in.ledger.CrashedWorkers(task) >= kTrialCrashedWorkers) {
+        table.MarkTrialHost(worker->entry->report.incarnation);
+      }
+    }
+  }
+}
+
+void Dispatcher::ReserveForTrial(const WaitingUnit& unit,
+                                 CapacityTable& table) {
+  const WorkerCapacity* best = nullptr;
+  for (const WorkerCapacity* worker : table.workers()) {
+    const bool fits = !worker->hosts_trial && !worker->is_quarantined &&
+                      MembersThatFit(unit, *worker, worker->free) > 0;
+    if (fits && (best == nullptr ||
+                 NewestStart(*worker->entry) < NewestStart(*best->entry))) {
+      best = worker;
+    }
+  }
+  table.CountExamined(table.workers().size());
+  if (best != nullptr) {
+    table.MarkTrialHost(best->entry->report.incarnation);
+  }
+}
+
+bool Dispatcher::MayHostMoreTrials(const CapacityTable& table) const {
+  const double limit =
+      options_.max_trial_hosts * static_cast<double>(table.workers().size());
+  return static_cast<double>(table.trial_hosts()) < std::max(1.0, limit);
+}
+
 std::set<std::string> Dispatcher::JobsWithinGuarantee(const Input& in) const {
   // Accelerators wanted by the open jobs of priority 0, by account.
   std::map<std::string, std::int64_t> wanted_accelerators;
@@ -137,7 +191,9 @@
              .due_at = due_at,
              .deadline = due_at + objective,
              .outlook = outlook,
-             .expected_end = ExpectedEnd(in.now, step)});
+             .expected_end = ExpectedEnd(in.now, step),
+             .needs_trial =
+                 state.units[u].MaxCrashes() >= kTrialCrashedWorkers});
       }
     }
   }
@@ -312,12 +368,21 @@
                                 .run = victim.run,
                                 .cause = StopCause::kReclaim});
   }
-  // Reserves the capacity, including what is free already, so that units later
-  // in the order cannot use it.
-  for (const MemberPlace& m : placement->members) {
+  // Includes what is free already, so that units later in the order cannot use
+  // it.
+  ReservePlacement(unit, *placement, table);
+  return true;
+}
+
+void Dispatcher::ReservePlacement(const WaitingUnit& unit,
+                                  const UnitPlacement& placement,
+                                  CapacityTable& table) {
+  for (const MemberPlace& m : placement.members) {
     table.Reserve(m.incarnation, unit);
+    if (unit.needs_trial) {
+      table.MarkTrialHost(m.incarnation);
+    }
   }
-  return true;
 }
 
 std::vector<LedgerRecord> Dispatcher::Plan(const Input& in) const {
@@ -343,7 +408,8 @@
   std::set<TaskRef> unplaceable_steps;
   for (const WaitingUnit& unit : waiting_units) {
     const TaskRef step = FirstTaskOfStep(unit.first_task);
-    if (unplaceable_steps.contains(step)) {
+    if (unplaceable_steps.contains(step) ||
+        (unit.needs_trial && !MayHostMoreTrials(table))) {
       continue;
     }
     if (const std::optional<UnitPlacement> placement =
@@ -351,14 +417,18 @@
                                       idle_jobs.MayUseReserved(unit))) {
       idle_jobs.SetRunning(unit.first_task.job);
       out.emplace_back(MakeRunStarted(in, unit, *placement));
-      for (const MemberPlace& m : placement->members) {
-        table.Reserve(m.incarnation, unit);
-      }
+      ReservePlacement(unit, *placement, table);
       continue;
     }
     const bool may_preempt =
         unit.is_guaranteed || unit.job->request.terms.priority == 0;
-    if (may_preempt && Preempt(in, table, search, unit, stopped_units, out)) {
+    const bool has_room =
+        may_preempt && Preempt(in, table, search, unit, stopped_units, out);
+    if (has_room) {
+      continue;
+    }
+    if (unit.needs_trial) {
+      ReserveForTrial(unit, table);
       continue;
     }
     unplaceable_steps.insert(step);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -35,6 +35,13 @@
     // differently.
     Duration refusal_backoff{300};
     Duration refusal_backoff_max{4000};
+    // A task that crashes its worker does so as it starts. A worker that was
+    // given no task for this long has survived them all: the longest delay from
+    // the decision to the start, and half a second.
+    Duration settling_time{2500};
+    // Most workers, as a fraction of all, that may host units on trial; at
+    // least one may.
+    double max_trial_hosts = 0.25;
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
     double locality_wait_fraction = 0.6;
@@ -91,6 +98,15 @@
                           const LedgerJob& job,
                           std::vector<WaitingUnit>& out) const;
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
+  // Marks the workers that run units on trial.
+  void MarkTrialHosts(const Input& in, CapacityTable& table) const;
+  bool MayHostMoreTrials(const CapacityTable& table) const;
+  bool IsSettled(const Input& in, const LedgerWorker& worker) const;
+  // Keeps the worker that is next to be settled free for the unit.
+  static void ReserveForTrial(const WaitingUnit& unit, CapacityTable& table);
+  static void ReservePlacement(const WaitingUnit& unit,
+                               const UnitPlacement& placement,
+                               CapacityTable& table);
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
   void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -50,7 +50,8 @@
                 const WorkerCapacity& worker,
                 const PlacementOptions& options) {
   const LedgerWorker& entry = *worker.entry;
-  if (worker.is_quarantined && !options.allow_quarantined) {
+  if ((worker.is_quarantined && !options.allow_quarantined) ||
+      !MayShare(unit, worker)) {
     return false;
   }
   if (!options.allow_failed_worker &&
@@ -115,6 +116,9 @@
     return a.free_score != b.free_score ? a.free_score < b.free_score
                                         : Id(*a.worker) < Id(*b.worker);
   });
+  if (unit.needs_trial) {
+    std::reverse(out.begin(), out.end());  // Least is lost with an empty one.
+  }
   return out;
 }
 
@@ -167,6 +171,16 @@
 
 }  // namespace
 
+bool MayShare(const WaitingUnit& unit, const WorkerCapacity& worker) {
+  if (worker.hosts_trial || !unit.needs_trial) {
+    return !worker.hosts_trial;
+  }
+  // The workers of a gang are never all settled at once. Its crashes are
+  // counted by member, which tells enough.
+  return worker.planned_tasks.empty() &&
+         (worker.is_settled || unit.member_count > 1);
+}
+
 std::int32_t MembersThatFit(const WaitingUnit& unit,
                             const WorkerCapacity& worker,
                             const Resources& available) {
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -19,6 +19,8 @@
   bool is_guaranteed = false;  // Within its account's guarantee.
   // If it starts now; kNever for tasks that last.
   Time expected_end = kNever;
+  // Workers have crashed under it: see CapacityTable.
+  bool needs_trial = false;
 };
 
 }  // namespace marjoramplank
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -99,6 +99,8 @@
       epoch @5 : Int64;
       gone @6 : Bool;
       reason @7 : Text;
+      crashed @41 : Bool;
+      suspects @42 : List(SuspectRun);
     }
     plannerElected : group {
       entry @8 : Text;
@@ -157,6 +159,17 @@
   checkpoint @6 : Text;
   members @7 : List(Member);
   failedOn @8 : List(Life);
+  crashes @9 : List(TaskCrashes);
+}
+
+struct SuspectRun {
+  task @0 : Task;
+  run @1 : Int32;
+}
+
+struct TaskCrashes {
+  index @0 : Int32;
+  workers @1 : Int32;
 }
 
 struct JobState {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -1,6 +1,7 @@
 #include "src/jobs/ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjoramplank {
 
@@ -28,6 +29,14 @@
   return task;
 }
 
+std::int32_t RunUnit::MaxCrashes() const {
+  std::int32_t max = 0;
+  for (const auto& [index, workers] : crashes) {
+    max = std::max(max, workers);
+  }
+  return max;
+}
+
 bool Ledger::Apply(Time now, const LedgerRecord& record) {
   return std::visit([&](const auto& r) { return ApplyRecord(now, r); }, record);
 }
@@ -167,7 +176,13 @@
   if (it == workers_.end() || (r.epoch != 0 && r.epoch != planner_epoch_)) {
     return false;
   }
+  if (r.crashed) {
+    CountCrash(it->second, r);
+  }
   EndAllRuns(it->second);
+  if (r.crashed) {
+    FailCrashingJobs(it->second);
+  }
   it->second.report.accepting = false;
   it->second.incarnation_ended = r.incarnation_ended;
   return true;
@@ -319,12 +334,25 @@
   return true;
 }
 
+std::int32_t Ledger::CrashedWorkers(const TaskRef& task) const {
+  const RunUnit* unit = FindUnit(task);
+  if (unit == nullptr) {
+    return 0;
+  }
+  const auto it = unit->crashes.find(task.index);
+  return it == unit->crashes.end() ? 0 : it->second;
+}
+
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
+  return const_cast<RunUnit*>(std::as_const(*this).FindUnit(task));
+}
+
+const RunUnit* Ledger::FindUnit(const TaskRef& task) const {
   const auto it = jobs_.find(task.job);
   if (it == jobs_.end()) {
     return nullptr;
   }
-  LedgerJob& job = it->second;
+  const LedgerJob& job = it->second;
   const TaskRef first = FirstTaskOfUnit(job, task);
   const auto k = static_cast<std::size_t>(first.occurrence);
   const auto s = static_cast<std::size_t>(first.step);
@@ -455,6 +483,31 @@
   }
 }
 
+void Ledger::CountCrash(LedgerWorker& worker, const WorkerEmptied& r) {
+  worker.crash_suspects.clear();
+  for (const SuspectRun& suspect : r.suspects) {
+    const auto live = worker.runs.find(suspect.task);
+    RunUnit* unit = FindUnit(suspect.task);
+    if (live != worker.runs.end() && live->second.run == suspect.run &&
+        unit != nullptr && unit->run == suspect.run &&
+        unit->phase == RunUnit::Phase::kRunning) {
+      worker.crash_suspects.push_back(
+          {.task = suspect.task,
+           .crashed_workers = ++unit->crashes[suspect.task.index]});
+    }
+  }
+}
+
+void Ledger::FailCrashingJobs(const LedgerWorker& worker) {
+  for (const CrashSuspect& suspect : worker.crash_suspects) {
+    const auto it = jobs_.find(suspect.task.job);
+    if (it != jobs_.end() && !it->second.ended() &&
+        suspect.crashed_workers >= kMaxCrashedWorkers) {
+      EndJob(it->second, JobPhase::kFailed);
+    }
+  }
+}
+
 void Ledger::EndAllRuns(LedgerWorker& worker) {
   const std::map<TaskRef, LiveRun> ended_runs = std::move(worker.runs);
   worker.runs.clear();
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -17,6 +17,9 @@
 constexpr Duration kUnrecordedEndsHoldInterval = 400ms;
 // Least time between two rounds of recorded observations.
 constexpr Duration kObservationInterval = 800ms;
+// A task that crashes workers does so as it starts. One that has run for this
+// long, measured to the first sign of the crash, is not to blame.
+constexpr Duration kCrashBlameWindow = 2s;
 // Most starts and stops that are returned at once.
 constexpr std::size_t kMaxCallsAtOnce = 64;
 
@@ -37,6 +40,9 @@
     return true;
   }
   const bool was_leaving = is_same_incarnation && worker_->leaving;
+  if (worker_ && !is_same_incarnation && !has_departed_) {
+    EndIncarnation(Ending::kUnannounced, "a new incarnation reports");
+  }
   worker_ = heartbeat;
   worker_->leaving = heartbeat.leaving || was_leaving;
   is_adopted_ = false;
@@ -102,15 +108,34 @@
   if (!worker_ || worker_->incarnation.id != worker_id || has_departed_) {
     return;
   }
-  EndIncarnation("the worker has left");
+  EndIncarnation(Ending::kAnnounced, "the worker has left");
 }
 
-void Supervisor::EndIncarnation(const std::string& reason) {
+void Supervisor::EndIncarnation(Ending ending, const std::string& reason) {
   has_departed_ = true;
-  pending_records_.emplace_back(
-      WorkerEmptied{.incarnation = worker_->incarnation,
-                    .incarnation_ended = true,
-                    .reason = reason});
+  // An agent that has not heard the worker itself cannot tell a crash from a
+  // power loss, which ends the agent too.
+  const bool crashed = ending == Ending::kUnannounced && !worker_->leaving &&
+                       contact_.heard_at() != Time{0};
+  WorkerEmptied record{.incarnation = worker_->incarnation,
+                       .incarnation_ended = true,
+                       .crashed = crashed,
+                       .reason = reason};
+  if (crashed) {
+    record.suspects = RunsStartedBefore(
+        contact_.IsFailing() ? contact_.failing_since() : contact_.heard_at());
+  }
+  pending_records_.emplace_back(std::move(record));
+}
+
+std::vector<SuspectRun> Supervisor::RunsStartedBefore(Time crash) const {
+  std::vector<SuspectRun> out;
+  for (const auto& [task, run] : runs_) {
+    if (run.begun_at != Time{0} && crash - run.begun_at < kCrashBlameWindow) {
+      out.push_back({.task = task, .run = run.run});
+    }
+  }
+  return out;
 }
 
 bool Supervisor::IsAcceptingWork(Time now) const {
@@ -210,6 +235,7 @@
       const LedgerJob* job = ledger.FindJob(task.job);
       run = {.run = live.run,
              .is_gang = live.gang,
+             .need = live.need,
              .payload = live.payload,
              .start_checkpoint = live.checkpoint,
              // The order is newer than the last time that the ledger was
@@ -231,6 +257,16 @@
   ledger_current_at_ = now;
 }
 
+bool Supervisor::HasRoomFor(const LocalRun& run) const {
+  Resources free = worker_->capacity;
+  for (const auto& [task, other] : runs_) {
+    if (other.phase != Phase::kPending && !other.outcome_queued) {
+      free -= other.need;
+    }
+  }
+  return run.need.FitsIn(free);
+}
+
 std::vector<TaskCommand> Supervisor::TakeCommands(Time now) {
   std::vector<TaskCommand> out;
   if (!worker_ || has_departed_ || !is_ledger_current_ || fence_ == 0) {
@@ -269,6 +305,10 @@
       RecordRefusal(task, run, "could not be started in time");
       continue;
     }
+    if (!HasRoomFor(run)) {
+      RecordRefusal(task, run, "the worker's capacity has shrunk");
+      continue;
+    }
     if (!contact_.IsReachable(now)) {
       RecordRefusal(task, run, "the worker cannot be reached");
       continue;
@@ -278,6 +318,7 @@
     }
     run.phase = Phase::kStarting;
     run.start_sent = true;
+    run.begun_at = now;
     contact_.OnStartSent(now + options_.leases.MaxLeaseDuration());
     out.emplace_back(StartCall{.incarnation = worker_->incarnation,
                                .fence = fence_,
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -96,6 +96,7 @@
     // Its end or refusal has been returned for the log, or is about to be.
     bool outcome_queued = false;
     bool is_gang = false;
+    Resources need;
     bool is_long_running = false;  // Runs until cancelled, so it cannot stall.
     std::string payload;
     std::string start_checkpoint;   // To start from.
@@ -106,6 +107,9 @@
     // When it was ordered at the earliest: the last time before that the ledger
     // was current. At the first read of this process: the time of reading.
     Time ordered_at{0};
+    // When the worker started it, or may have. 0: it has not, or an earlier
+    // process of the agent sent the start.
+    Time begun_at{0};
     Time last_progress_at{0};
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
@@ -114,10 +118,16 @@
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
   void AdoptRecordedWorker(Time now, const Ledger& ledger);
+  enum class Ending { kAnnounced, kUnannounced };
   // The incarnation has ended, and its tasks with it.
-  void EndIncarnation(const std::string& reason);
+  void EndIncarnation(Ending ending, const std::string& reason);
   // Ends the incarnation if no process listens at its address any more.
   void CheckProcessEnded(Time now);
+  // True if the worker's present capacity has room for the run beside all that
+  // it may be running, including what is being stopped.
+  bool HasRoomFor(const LocalRun& run) const;
+  // Runs that the worker had started, or may have, shortly before `crash`.
+  std::vector<SuspectRun> RunsStartedBefore(Time crash) const;
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
                      const std::string& reason);
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -11,11 +11,16 @@
 // A run that is still listed this long after an accepted stop is stopped again.
 constexpr Duration kAcceptedStopRetryInterval = 1500ms;
 
+bool MayHaveBegun(CommandReply::Kind kind) {
+  return kind == CommandReply::Kind::kDone ||
+         kind == CommandReply::Kind::kNoAnswer;
+}
+
 }  // namespace
 
 void Supervisor::CheckProcessEnded(Time now) {
   if (!has_departed_ && contact_.HasEnded(now)) {
-    EndIncarnation("no process listens at its address");
+    EndIncarnation(Ending::kUnannounced, "no process listens at its address");
   }
 }
 
@@ -45,13 +50,18 @@
   }
   UpdateWorkerClock(now, reply.clock_ms);
   const auto it = runs_.find(call.task);
+  if (it != runs_.end() && it->second.run == call.run) {
+    // Before the reply may end the incarnation: only what the worker may have
+    // started can have crashed it.
+    it->second.begun_at = MayHaveBegun(reply.kind) ? now : Time{0};
+  }
   CountReply(now, reply.kind);
   if (reply.kind == CommandReply::Kind::kNoAnswer) {
     needs_resolution_ = true;
   }
   if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
@@ -100,7 +110,7 @@
   CountReply(now, reply.kind);
   if (reply.kind == CommandReply::Kind::kWrongIncarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
@@ -163,7 +173,7 @@
        *reply.started_at_unix_ms != worker_->incarnation.started_at_unix_ms);
   if (is_other_incarnation) {
     if (!has_departed_) {
-      EndIncarnation("another incarnation answers");
+      EndIncarnation(Ending::kUnannounced, "another incarnation answers");
     }
     return;
   }
