Elections on a full queue: wait longer, with jitter; a planner does not hand over for it

Callers saw: no job started for 3 s on a large deployment whose log service was 63 times slower for 4.3 s; no planner from 23.8 to 26.9 s.

Cause: an entry whose election the log service refused because its queue is full (503, 2 s of appends) campaigned again 0.3 s later, and all entries waited for the same times, so that they stayed in step. A planner that was refused by the full queue for 0.3 s handed over, which started a campaign of all entries on that queue.

The planner treats such a refusal as silence: it hands over after 0.3 s only if reads are not answered either. A refused append does not raise the fence, as before; a test now says so.

--- a/src/node/campaign_schedule.h
+++ b/src/node/campaign_schedule.h
@@ -11,7 +11,8 @@
 // timeouts: with dozens of entries, all of them would campaign in the same
 // moment, and their appends would delay each other's and the new planner's on a
 // log service that is slow. Each entry waits for another time, taken from its
-// name and the epoch; after a campaign without success it backs off.
+// name and the epoch; after a campaign without success it backs off, with
+// jitter.
 class CampaignSchedule {
  public:
   struct Options {
@@ -20,6 +21,14 @@
     Duration max_spread{800};
     Duration min_backoff{300};  // Doubles with each campaign without success.
     Duration max_backoff{1500};
+    // Least wait after a campaign that was refused because the queue of the log
+    // service is full (2 s of appends): half of the queue has been served then.
+    // The longest wait is twice this.
+    Duration busy_backoff{1000};
+  };
+  enum class Failure {
+    kNoAnswer,
+    kBusy,  // Refused: too many appends wait in the log service.
   };
 
   CampaignSchedule(std::string name, Options options);
@@ -28,12 +37,16 @@
   // which any entry may campaign.
   Duration DelayOf(std::int64_t epoch, std::size_t entries) const;
   bool MayTry(Time now) const { return now >= next_try_at_; }
-  void OnFailure(Time now);
+  void OnFailure(Time now, Failure failure = Failure::kNoAnswer);
   void OnSuccess();  // Some entry is the planner.
 
  private:
+  // Up to `longest`, another time for each entry and failure.
+  Duration Jitter(Duration longest);
+
   const std::string name_;
   const Options options_;
+  std::uint64_t failure_count_ = 0;
   Duration backoff_{0};
   Time next_try_at_{0};
 };
--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -69,7 +69,9 @@
       AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1);
   const bool stored = result.kind == AppendResult::Kind::kStored;
   if (!stored) {
-    schedule_.OnFailure(BootClockNow());
+    schedule_.OnFailure(BootClockNow(),
+                        result.is_busy ? CampaignSchedule::Failure::kBusy
+                                       : CampaignSchedule::Failure::kNoAnswer);
   }
   LogEvent("planner_election").With("epoch", epoch).With("stored", stored);
   return stored ? std::optional(result.first_offset + 1) : std::nullopt;
@@ -90,9 +92,11 @@
     RaiseFence();
   }
   const bool is_failing = failing_since_ != Time{0};
-  const Duration limit = result.kind == AppendResult::Kind::kUnknown
-                             ? StepDownAfterSilence()
-                             : options_.step_down_after;
+  // A full queue refuses the appends of any other planner as well.
+  const bool may_be_slow_for_all =
+      result.kind == AppendResult::Kind::kUnknown || result.is_busy;
+  const Duration limit =
+      may_be_slow_for_all ? StepDownAfterSilence() : options_.step_down_after;
   if (is_failing && BootClockNow() - failing_since_ >= limit) {
     StepDown(epoch, BootClockNow() - failing_since_);
   }
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -38,6 +38,7 @@
   Kind kind = Kind::kUnknown;
   std::int64_t first_offset = 0;  // Offset of the first record, if stored.
   std::string reason;             // For the event log, if not stored.
+  bool is_busy = false;           // Refused: too many calls wait already.
 };
 
 struct LogRecordBytes {
--- a/tests/unit/campaign_schedule_test.cc
+++ b/tests/unit/campaign_schedule_test.cc
@@ -56,5 +56,44 @@
   }
 }
 
+// Guards against entries that campaign in step for as long as the log service
+// is slow, because each waits for the same time after a failure.
+TEST_CASE("campaign schedule: entries that failed together spread",
+          "[election]") {
+  constexpr int kEntries = 55;
+  constexpr Time kFailedAt = 10s;
+  std::vector<CampaignSchedule> schedules;
+  schedules.reserve(kEntries);
+  for (int n = 0; n < kEntries; ++n) {
+    schedules.emplace_back("edge-" + std::to_string(n),
+                           CampaignSchedule::Options{});
+  }
+  const auto count_ready = [&](Time now) {
+    return std::count_if(
+        schedules.begin(), schedules.end(),
+        [&](const CampaignSchedule& s) { return s.MayTry(now); });
+  };
+  const CampaignSchedule::Options options;
+
+  SECTION("after no answer: not sooner than the backoff, not at once") {
+    for (CampaignSchedule& s : schedules) {
+      s.OnFailure(kFailedAt, CampaignSchedule::Failure::kNoAnswer);
+    }
+    CHECK(count_ready(kFailedAt + options.min_backoff - 1ms) == 0);
+    CHECK(count_ready(kFailedAt + options.min_backoff + 30ms) <= kEntries / 2);
+    CHECK(count_ready(kFailedAt + options.min_backoff * 3 / 2) == kEntries);
+  }
+  SECTION("after a refusal: later, and spread over a second") {
+    for (CampaignSchedule& s : schedules) {
+      s.OnFailure(kFailedAt, CampaignSchedule::Failure::kBusy);
+    }
+    CHECK(count_ready(kFailedAt + options.busy_backoff - 1ms) == 0);
+    const auto half = count_ready(kFailedAt + options.busy_backoff * 3 / 2);
+    CHECK(half >= kEntries / 4);
+    CHECK(half <= kEntries * 3 / 4);
+    CHECK(count_ready(kFailedAt + options.busy_backoff * 2) == kEntries);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
--- a/tests/unit/planner_leadership_test.cc
+++ b/tests/unit/planner_leadership_test.cc
@@ -14,15 +14,19 @@
   struct Script {
     AppendResult::Kind decisions = AppendResult::Kind::kStored;
     AppendResult::Kind fence_raises = AppendResult::Kind::kStored;
+    bool is_busy = false;  // Refused because too many calls wait.
+    int fence_raise_count = 0;
   };
-  explicit ScriptedStore(const Script& script) : script_(script) {}
+  explicit ScriptedStore(Script& script) : script_(script) {}
 
   AppendResult Append(const LogPartition&,
                       const std::vector<std::string>& records,
                       const ProducerStamp&,
                       Duration) override {
+    script_.fence_raise_count += records.empty() ? 1 : 0;
     return {.kind = records.empty() ? script_.fence_raises : script_.decisions,
-            .first_offset = 7};
+            .first_offset = 7,
+            .is_busy = script_.is_busy};
   }
   ReadResult Read(const LogPartition&,
                   std::int64_t,
@@ -33,7 +37,7 @@
   LatestResult ReadLatest(const LogPartition&, Duration) override { return {}; }
 
  private:
-  const Script& script_;
+  Script& script_;
 };
 
 TEST_CASE("planner leadership", "[planner_seat]") {
@@ -106,6 +110,38 @@
     }
   }
 
+  // Guards against a planner that resigns because the queue of the log service
+  // is full, and so starts a campaign of all entries on that queue.
+  SECTION("a full queue is no reason to hand over while reads are answered") {
+    script.decisions = AppendResult::Kind::kRefused;
+    script.is_busy = true;
+    last_read_at = kNever;
+    leadership.Append(decisions, 3);
+    CHECK(fallback_records.empty());
+    CHECK(leadership.IsLeader(own_view));
+    CHECK(script.fence_raise_count == 0);
+
+    SECTION("but when they are not answered any more") {
+      last_read_at = Time{0};
+      leadership.Append(decisions, 3);
+      CHECK(fallback_records.size() == 1);
+    }
+  }
+
+  // Guards against entries that campaign again at once on a full queue.
+  SECTION("an election that a full queue refused is repeated later") {
+    script.decisions = AppendResult::Kind::kRefused;
+    script.is_busy = true;
+    const PlannerView other_view{
+        .planner_id = "f#1", .epoch = 4, .last_heartbeat_at = now - 5s};
+    REQUIRE(leadership.MayCampaign(other_view, now, false, 1));
+    leadership.Campaign(5);
+    CHECK(script.fence_raise_count == 0);
+    CHECK_FALSE(leadership.MayCampaign(other_view, now + 900ms, false, 1));
+    CHECK(
+        leadership.MayCampaign(other_view, BootClockNow() + 2100ms, false, 1));
+  }
+
   SECTION("loses leadership when fenced off") {
     script.decisions = AppendResult::Kind::kFenced;
     leadership.Append(decisions, 3);
