Planner: wait for an append longer than the log service's queue, if it is slow for all

Callers saw: no job started while the log service was slow (large deployment, 63 times slower for 4.3 s).

Cause: the planner's appends timed out after 350 to 900 ms, while an append may wait in the log service for 2 s and is stored all the same. After each of them an empty append raised the fence, with a timeout of 250 ms: one more place in the same queue.

Change: once an append was not answered while reads of the log are, the next one may take 2.2 s, as for writers without another route. Only the first append without an answer is followed by an empty one; after that the next append, with a higher producer epoch, fences off the one before. Without answered reads nothing changes (900 ms, hand-over after 0.3 s); if only the planner's own route is cut, the other entries take over by their election timeout of 1.3 s, which this does not touch. Elections keep the limit of 900 ms: an entry that waits for its election does nothing else.

--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -66,7 +66,8 @@
   // An election without an answer needs no fence; it is simply repeated. If the
   // first one is stored late, it is as good, or void.
   const AppendResult result =
-      AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1);
+      AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1,
+                   ElectionAppendTimeout());
   const bool stored = result.kind == AppendResult::Kind::kStored;
   if (!stored) {
     schedule_.OnFailure(BootClockNow(),
@@ -81,15 +82,21 @@
     const std::vector<LedgerRecord>& records,
     std::int64_t epoch) {
   const Time sent_at = BootClockNow();
-  const AppendResult result = AppendFenced(records, epoch);
+  const AppendResult result =
+      AppendFenced(records, epoch, PlannerAppendTimeout(sent_at));
   if (result.kind == AppendResult::Kind::kStored) {
     failing_since_ = Time{0};
     return result.first_offset + static_cast<std::int64_t>(records.size());
   }
-  failing_since_ = failing_since_ == Time{0} ? sent_at : failing_since_;
-  if (result.kind == AppendResult::Kind::kUnknown ||
-      result.kind == AppendResult::Kind::kOutOfSequence) {
+  const bool is_first_failure = failing_since_ == Time{0};
+  failing_since_ = is_first_failure ? sent_at : failing_since_;
+  if (result.kind == AppendResult::Kind::kOutOfSequence ||
+      (result.kind == AppendResult::Kind::kUnknown && is_first_failure)) {
     RaiseFence();
+  } else if (result.kind == AppendResult::Kind::kUnknown) {
+    // The next append fences off this one as well. An empty append for that
+    // would only take another place in the queue of a slow log service.
+    fence_.RaiseEpoch();
   }
   const bool is_failing = failing_since_ != Time{0};
   // A full queue refuses the appends of any other planner as well.
@@ -110,17 +117,35 @@
                      : options_.step_down_after;
 }
 
+bool PlannerLeadership::IsReadable(Time now) const {
+  return options_.last_read_at &&
+         options_.last_read_at() > now - options_.election_timeout;
+}
+
+Duration PlannerLeadership::ElectionAppendTimeout() const {
+  return std::min(append_timeout_.current(), options_.max_timeout_otherwise);
+}
+
+Duration PlannerLeadership::PlannerAppendTimeout(Time now) const {
+  if (!IsReadable(now)) {
+    return ElectionAppendTimeout();
+  }
+  return failing_since_ == Time{0} ? append_timeout_.current()
+                                   : options_.append_timeout.max_timeout;
+}
+
 AppendResult PlannerLeadership::AppendFenced(
     const std::vector<LedgerRecord>& records,
-    std::int64_t epoch) {
+    std::int64_t epoch,
+    Duration timeout) {
   std::vector<std::string> bytes;
   bytes.reserve(records.size());
   for (const LedgerRecord& r : records) {
     bytes.push_back(EncodeRecord(r));
   }
   const Time sent_at = BootClockNow();
-  AppendResult result = store_->Append(options_.records, bytes, fence_.stamp(),
-                                       append_timeout_.current());
+  AppendResult result =
+      store_->Append(options_.records, bytes, fence_.stamp(), timeout);
   if (result.kind == AppendResult::Kind::kStored) {
     append_timeout_.OnResponse(BootClockNow() - sent_at);
     fence_.OnStored();
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -49,7 +49,14 @@
     Duration step_down_after_if_readable{1300};
     // When the newest successful read of the log was sent. Empty: not known.
     std::function<Time()> last_read_at;
-    AdaptiveTimeout::Options append_timeout;
+    // The timeout of the planner's appends grows above the queue of the log
+    // service, which refuses an append that would wait for more than 2 s: with
+    // a lower one, a slow log service stores appends of which the planner never
+    // hears.
+    AdaptiveTimeout::Options append_timeout{.max_timeout = Duration{2200}};
+    // Longest timeout of an election, during which the entry does nothing else,
+    // and of appends while reads of the log are not answered either.
+    Duration max_timeout_otherwise{900};
   };
   // Appends a record over any route that still works, without waiting.
   using FallbackAppend = std::function<void(LedgerRecord)>;
@@ -77,10 +84,15 @@
 
  private:
   AppendResult AppendFenced(const std::vector<LedgerRecord>& records,
-                            std::int64_t epoch);
+                            std::int64_t epoch,
+                            Duration timeout);
   void RaiseFence();
   void StepDown(std::int64_t epoch, Duration failing_for);
   Duration StepDownAfterSilence() const;
+  // Whether a read of the log was answered within the election timeout.
+  bool IsReadable(Time now) const;
+  Duration ElectionAppendTimeout() const;
+  Duration PlannerAppendTimeout(Time now) const;
 
   const Options options_;
   const std::string id_;
--- a/tests/unit/planner_leadership_test.cc
+++ b/tests/unit/planner_leadership_test.cc
@@ -16,14 +16,16 @@
     AppendResult::Kind fence_raises = AppendResult::Kind::kStored;
     bool is_busy = false;  // Refused because too many calls wait.
     int fence_raise_count = 0;
+    Duration last_timeout{0};  // Of decisions.
   };
   explicit ScriptedStore(Script& script) : script_(script) {}
 
   AppendResult Append(const LogPartition&,
                       const std::vector<std::string>& records,
                       const ProducerStamp&,
-                      Duration) override {
+                      Duration timeout) override {
     script_.fence_raise_count += records.empty() ? 1 : 0;
+    script_.last_timeout = records.empty() ? script_.last_timeout : timeout;
     return {.kind = records.empty() ? script_.fence_raises : script_.decisions,
             .first_offset = 7,
             .is_busy = script_.is_busy};
@@ -142,6 +144,30 @@
         leadership.MayCampaign(other_view, BootClockNow() + 2100ms, false, 1));
   }
 
+  SECTION("appends are not answered") {
+    constexpr Duration kQueue = 2s;  // Of the log service.
+    script.decisions = AppendResult::Kind::kUnknown;
+    script.fence_raises = AppendResult::Kind::kUnknown;
+
+    // Guards against a planner whose appends time out while they wait in the
+    // log service, and that fences each of them off with one more append.
+    SECTION("but reads are: waits longer than the queue, fences off once") {
+      last_read_at = kNever;
+      leadership.Append(decisions, 3);
+      leadership.Append(decisions, 3);
+      CHECK(script.last_timeout > kQueue);
+      CHECK(script.fence_raise_count == 1);
+      CHECK(leadership.IsLeader(own_view));
+    }
+    SECTION("nor are reads: does not wait for a queue that others may pass") {
+      for (int n = 0; n < 4; ++n) {
+        leadership.Append(decisions, 3);
+        CHECK(script.last_timeout <= 900ms);
+      }
+      CHECK_FALSE(leadership.IsLeader(own_view));
+    }
+  }
+
   SECTION("loses leadership when fenced off") {
     script.decisions = AppendResult::Kind::kFenced;
     leadership.Append(decisions, 3);
