Planner: first decisions after an election without an answer were lost as its repeat

Callers saw: jobs that were decided to start and did not; they were decided again by the next planner.

Cause: all candidates append their election with the same producer stamp of the epoch. A candidate whose election got no answer and was stored late learns of it from the ledger, but still held the stamp of the election for its next append. The log service takes that append for a repeat, answers as for the election, and stores nothing.

Change: after an election without an answer the planner's first append uses the next producer epoch, which also fences off elections that are still queued.

--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -63,12 +63,13 @@
 
 std::optional<std::int64_t> PlannerLeadership::Campaign(std::int64_t epoch) {
   fence_.BeginElection(epoch);
-  // An election without an answer needs no fence; it is simply repeated. If the
-  // first one is stored late, it is as good, or void.
+  // An election without an answer needs no fence: if it is stored late, it is
+  // as good, or void.
   const AppendResult result =
       AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1,
                    ElectionAppendTimeout());
   const bool stored = result.kind == AppendResult::Kind::kStored;
+  election_unconfirmed_ = !stored;
   if (!stored) {
     schedule_.OnFailure(BootClockNow(),
                         result.is_busy ? CampaignSchedule::Failure::kBusy
@@ -81,6 +82,12 @@
 std::optional<std::int64_t> PlannerLeadership::Append(
     const std::vector<LedgerRecord>& records,
     std::int64_t epoch) {
+  if (election_unconfirmed_) {
+    // The log service would take an append with the stamp of the election for a
+    // repeat of it, answer as for the election, and store nothing.
+    election_unconfirmed_ = false;
+    fence_.RaiseEpoch();
+  }
   const Time sent_at = BootClockNow();
   const AppendResult result =
       AppendFenced(records, epoch, PlannerAppendTimeout(sent_at));
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -101,6 +101,8 @@
   CampaignSchedule schedule_;
   std::int64_t scheduled_epoch_ = 0;  // Of the last planner that was seen.
   PlannerFence fence_;
+  // The last election had no answer and may have been stored all the same.
+  bool election_unconfirmed_ = false;
   AdaptiveTimeout append_timeout_;
   // Epoch in which this process was fenced off or stepped down.
   std::int64_t relinquished_epoch_ = -1;
--- a/tests/unit/planner_leadership_test.cc
+++ b/tests/unit/planner_leadership_test.cc
@@ -17,15 +17,17 @@
     bool is_busy = false;  // Refused because too many calls wait.
     int fence_raise_count = 0;
     Duration last_timeout{0};  // Of decisions.
+    ProducerStamp last_stamp;  // Of decisions.
   };
   explicit ScriptedStore(Script& script) : script_(script) {}
 
   AppendResult Append(const LogPartition&,
                       const std::vector<std::string>& records,
-                      const ProducerStamp&,
+                      const ProducerStamp& stamp,
                       Duration timeout) override {
     script_.fence_raise_count += records.empty() ? 1 : 0;
     script_.last_timeout = records.empty() ? script_.last_timeout : timeout;
+    script_.last_stamp = records.empty() ? script_.last_stamp : stamp;
     return {.kind = records.empty() ? script_.fence_raises : script_.decisions,
             .first_offset = 7,
             .is_busy = script_.is_busy};
@@ -168,6 +170,22 @@
     }
   }
 
+  // Guards against a planner that learns of its election from the ledger, and
+  // whose first decisions the log service takes for a repeat of the election:
+  // it answers as if they were stored.
+  SECTION("decisions after an election without an answer have another stamp") {
+    script.decisions = AppendResult::Kind::kUnknown;
+    REQUIRE(leadership.Campaign(5) == std::nullopt);
+    const ProducerStamp election = script.last_stamp;
+    script.decisions = AppendResult::Kind::kStored;
+    CHECK(leadership.Append(decisions, 5) == 9);
+    const ProducerStamp first = script.last_stamp;
+    CHECK(first.epoch > election.epoch);
+    CHECK(leadership.Append(decisions, 5) == 9);
+    CHECK(script.last_stamp.epoch == first.epoch);
+    CHECK(script.last_stamp.sequence == first.sequence + 1);
+  }
+
   SECTION("loses leadership when fenced off") {
     script.decisions = AppendResult::Kind::kFenced;
     leadership.Append(decisions, 3);
