Elections: not repeated while the first one may still wait in the log service

Callers saw: no planner from 24.8 s, when the log service was fast again, until 26.9 s.

Cause: an append keeps its place in the queue of the log service after its caller has given up. A candidate without an answer campaigned again 0.3 s later, and its next election waited behind the first one. The first one was stored meanwhile, but the elected entry waited for the answer to its repeat, and did not plan; the queue was kept full by repeats for as long as it was slow.

Change: if an election got no answer and reads of the log are answered, the entry campaigns again only after the queue time of 2 s, with jitter, and meanwhile learns from the ledger whether it was elected. If reads are not answered, the backoff is as before.

--- a/src/node/campaign_schedule.cc
+++ b/src/node/campaign_schedule.cc
@@ -40,6 +40,10 @@
     next_try_at_ = now + options_.busy_backoff + Jitter(options_.busy_backoff);
     return;
   }
+  if (failure == Failure::kQueued) {
+    next_try_at_ = now + options_.queue_time + Jitter(options_.min_backoff);
+    return;
+  }
   backoff_ =
       std::clamp(backoff_ * 2, options_.min_backoff, options_.max_backoff);
   next_try_at_ = now + backoff_ + Jitter(backoff_ / 2);
--- a/src/node/campaign_schedule.h
+++ b/src/node/campaign_schedule.h
@@ -25,10 +25,15 @@
     // service is full (2 s of appends): half of the queue has been served then.
     // The longest wait is twice this.
     Duration busy_backoff{1000};
+    // An append waits in the log service for at most this. An election that may
+    // wait there is not repeated before: the entry learns from the ledger that
+    // it was stored.
+    Duration queue_time{2000};
   };
   enum class Failure {
     kNoAnswer,
-    kBusy,  // Refused: too many appends wait in the log service.
+    kBusy,    // Refused: too many appends wait in the log service.
+    kQueued,  // No answer, but the log is readable: it may still be stored.
   };
 
   CampaignSchedule(std::string name, Options options);
--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -71,14 +71,23 @@
   const bool stored = result.kind == AppendResult::Kind::kStored;
   election_unconfirmed_ = !stored;
   if (!stored) {
-    schedule_.OnFailure(BootClockNow(),
-                        result.is_busy ? CampaignSchedule::Failure::kBusy
-                                       : CampaignSchedule::Failure::kNoAnswer);
+    schedule_.OnFailure(BootClockNow(), ElectionFailure(result));
   }
   LogEvent("planner_election").With("epoch", epoch).With("stored", stored);
   return stored ? std::optional(result.first_offset + 1) : std::nullopt;
 }
 
+CampaignSchedule::Failure PlannerLeadership::ElectionFailure(
+    const AppendResult& result) const {
+  if (result.is_busy) {
+    return CampaignSchedule::Failure::kBusy;
+  }
+  return result.kind == AppendResult::Kind::kUnknown &&
+                 IsReadable(BootClockNow())
+             ? CampaignSchedule::Failure::kQueued
+             : CampaignSchedule::Failure::kNoAnswer;
+}
+
 std::optional<std::int64_t> PlannerLeadership::Append(
     const std::vector<LedgerRecord>& records,
     std::int64_t epoch) {
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -83,6 +83,7 @@
                                      std::int64_t epoch);
 
  private:
+  CampaignSchedule::Failure ElectionFailure(const AppendResult& result) const;
   AppendResult AppendFenced(const std::vector<LedgerRecord>& records,
                             std::int64_t epoch,
                             Duration timeout);
--- a/tests/unit/campaign_schedule_test.cc
+++ b/tests/unit/campaign_schedule_test.cc
@@ -93,6 +93,14 @@
     CHECK(half <= kEntries * 3 / 4);
     CHECK(count_ready(kFailedAt + options.busy_backoff * 2) == kEntries);
   }
+  SECTION("an election that may be queued: not before the queue has passed") {
+    for (CampaignSchedule& s : schedules) {
+      s.OnFailure(kFailedAt, CampaignSchedule::Failure::kQueued);
+    }
+    CHECK(count_ready(kFailedAt + options.queue_time - 1ms) == 0);
+    CHECK(count_ready(kFailedAt + options.queue_time + options.min_backoff) ==
+          kEntries);
+  }
 }
 
 }  // namespace
--- a/tests/unit/election_storm_test.cc
+++ b/tests/unit/election_storm_test.cc
@@ -44,14 +44,11 @@
 // From an append until the other entries have read it.
 constexpr Duration kRead = 60ms;
 
-struct Election {
-  Time sent_at{0};
-  bool was_refused = false;
-};
-
 struct Outcome {
-  std::optional<Time> planner_at;  // The first election is stored.
-  std::vector<std::vector<Election>> elections;  // By entry.
+  std::optional<Time> elected_at;  // The first election is stored.
+  // The elected entry does not wait for an answer, and so plans.
+  Time planner_at{0};
+  std::vector<std::vector<Time>> elections;  // Sent, by entry.
 };
 
 // The planner has resigned at 0 s, in a log service that is slow until
@@ -61,8 +58,9 @@
   SlowPartition partition(kFastAt);
   while (partition.Append(Time{0})) {
   }
-  Outcome outcome{.elections = std::vector<std::vector<Election>>(
+  Outcome outcome{.elections = std::vector<std::vector<Time>>(
                       static_cast<std::size_t>(entries))};
+  std::size_t elected = 0;
   std::vector<CampaignSchedule> schedules;
   std::vector<Time> ready_at;
   for (int n = 0; n < entries; ++n) {
@@ -73,7 +71,9 @@
                                      1, static_cast<std::size_t>(entries)));
   }
   for (Time now{0}; now < 20s; now += 1ms) {
-    if (outcome.planner_at && now > *outcome.planner_at + kRead) {
+    if (outcome.elected_at && now > *outcome.elected_at + kRead) {
+      outcome.planner_at =
+          std::max(*outcome.elected_at + kRead, ready_at[elected]);
       break;
     }
     if (now % kOtherAppends == Duration(0)) {
@@ -84,24 +84,26 @@
         continue;
       }
       const std::optional<Time> stored_at = partition.Append(now);
-      outcome.elections[n].push_back(
-          {.sent_at = now, .was_refused = !stored_at});
+      outcome.elections[n].push_back(now);
+      if (stored_at && *stored_at < outcome.elected_at.value_or(kNever)) {
+        outcome.elected_at = stored_at;
+        elected = n;
+      }
+      ready_at[n] = now + kRefusal;
       if (stored_at) {
-        outcome.planner_at =
-            std::min(outcome.planner_at.value_or(*stored_at), *stored_at);
+        ready_at[n] = std::min(now + timeout, *stored_at);
       }
-      ready_at[n] = now + (stored_at ? timeout : kRefusal);
       schedules[n].OnFailure(ready_at[n],
-                             stored_at ? CampaignSchedule::Failure::kNoAnswer
+                             stored_at ? CampaignSchedule::Failure::kQueued
                                        : CampaignSchedule::Failure::kBusy);
     }
   }
   return outcome;
 }
 
-// Guards against elections that fill the queue of a slow log service: each
-// entry campaigned again 0.3 s after a refusal, for as long as the queue was
-// full.
+// Guards against elections that fill the queue of a slow log service (each
+// entry campaigned again 0.3 s after a failure, for as long as the queue was
+// full), and against an elected entry that waits for a repeat of its election.
 TEST_CASE("entries campaign on a slow log service", "[election]") {
   const CampaignSchedule::Options schedule;
   const Duration takeover =
@@ -110,13 +112,13 @@
     for (int names = 0; names < 20; ++names) {
       const Outcome outcome = Campaign(entries, names);
       CAPTURE(entries, names);
-      REQUIRE(outcome.planner_at);
-      CHECK(*outcome.planner_at <= kFastAt + takeover);
-      for (const std::vector<Election>& sent : outcome.elections) {
+      REQUIRE(outcome.elected_at);
+      CHECK(*outcome.elected_at <= kFastAt + takeover);
+      CHECK(outcome.planner_at == *outcome.elected_at + kRead);
+      for (const std::vector<Time>& sent : outcome.elections) {
         for (std::size_t n = 1; n < sent.size(); ++n) {
-          CHECK(sent[n].sent_at - sent[n - 1].sent_at >=
-                (sent[n - 1].was_refused ? schedule.busy_backoff
-                                         : schedule.min_backoff));
+          // So at most one election a second and entry.
+          CHECK(sent[n] - sent[n - 1] >= schedule.busy_backoff);
         }
       }
     }
--- a/tests/unit/planner_leadership_test.cc
+++ b/tests/unit/planner_leadership_test.cc
@@ -170,6 +170,28 @@
     }
   }
 
+  // Guards against an entry that was elected while it waits for a repeat of its
+  // election, and so does not plan.
+  SECTION("an election without an answer is not repeated while it may wait") {
+    script.decisions = AppendResult::Kind::kUnknown;
+    const PlannerView other_view{
+        .planner_id = "f#1", .epoch = 4, .last_heartbeat_at = now - 5s};
+    SECTION("in a log service that answers reads") {
+      last_read_at = kNever;
+      REQUIRE(leadership.MayCampaign(other_view, now, false, 1));
+      leadership.Campaign(5);
+      CHECK_FALSE(leadership.MayCampaign(other_view, now + 2s, false, 1));
+      CHECK(leadership.MayCampaign(other_view, BootClockNow() + 2400ms, false,
+                                   1));
+    }
+    SECTION("but soon if reads are not answered either") {
+      REQUIRE(leadership.MayCampaign(other_view, now, false, 1));
+      leadership.Campaign(5);
+      CHECK(
+          leadership.MayCampaign(other_view, BootClockNow() + 500ms, false, 1));
+    }
+  }
+
   // Guards against a planner that learns of its election from the ledger, and
   // whose first decisions the log service takes for a repeat of the election:
   // it answers as if they were stored.
