Planner: a refusal by a full queue is no reason to hand over after 0.3 s, even if reads come late

No entry was the planner from then until 26 s.

Cause: the planner counted such a refusal as slowness for all only if a read that was sent after the failure had been answered. In a slow log service that takes longer than 0.3 s.

Change: the 503 itself shows that the log service can be reached; the planner hands over only if the queue stays full for 1.3 s.

--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -115,22 +115,21 @@
     fence_.RaiseEpoch();
   }
   const bool is_failing = failing_since_ != Time{0};
-  // A full queue refuses the appends of any other planner as well.
-  const bool may_be_slow_for_all =
-      result.kind == AppendResult::Kind::kUnknown || result.is_busy;
-  const Duration limit =
-      may_be_slow_for_all ? StepDownAfterSilence() : options_.step_down_after;
-  if (is_failing && BootClockNow() - failing_since_ >= limit) {
+  if (is_failing && BootClockNow() - failing_since_ >= StepDownAfter(result)) {
     StepDown(epoch, BootClockNow() - failing_since_);
   }
   return std::nullopt;
 }
 
-Duration PlannerLeadership::StepDownAfterSilence() const {
-  const bool is_readable =
-      options_.last_read_at && options_.last_read_at() > failing_since_;
-  return is_readable ? options_.step_down_after_if_readable
-                     : options_.step_down_after;
+Duration PlannerLeadership::StepDownAfter(const AppendResult& result) const {
+  // A full queue refuses the appends of any other planner as well; that it was
+  // answered shows that the log service can be reached.
+  const bool is_slow_for_all =
+      result.is_busy ||
+      (result.kind == AppendResult::Kind::kUnknown && options_.last_read_at &&
+       options_.last_read_at() > failing_since_);
+  return is_slow_for_all ? options_.step_down_after_if_readable
+                         : options_.step_down_after;
 }
 
 bool PlannerLeadership::IsReadable(Time now) const {
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -43,9 +43,9 @@
     // The planner steps down if no append was stored for this long: a quarter
     // of the election timeout, after which the other entries would take over.
     Duration step_down_after{300};
-    // The same if appends are not answered, or refused because too many wait,
-    // but reads of the log are answered: the log service is slow for all, and
-    // another planner would not be faster.
+    // The same if appends are refused because too many wait, or not answered
+    // while reads of the log are: the log service is slow for all, and another
+    // planner would not be faster.
     Duration step_down_after_if_readable{1300};
     // When the newest successful read of the log was sent. Empty: not known.
     std::function<Time()> last_read_at;
@@ -89,7 +89,7 @@
                             Duration timeout);
   void RaiseFence();
   void StepDown(std::int64_t epoch, Duration failing_for);
-  Duration StepDownAfterSilence() const;
+  Duration StepDownAfter(const AppendResult& result) const;
   // Whether a read of the log was answered within the election timeout.
   bool IsReadable(Time now) const;
   Duration ElectionAppendTimeout() const;
