--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -63,60 +63,104 @@
 
 std::optional<std::int64_t> PlannerLeadership::Campaign(std::int64_t epoch) {
   fence_.BeginElection(epoch);
-  // An election without an answer needs no fence; it is simply repeated. If the
-  // first one is stored late, it is as good, or void.
+  // An election without an answer needs no fence: if it is stored late, it is
+  // as good, or void.
   const AppendResult result =
-      AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1);
+      AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1,
+                   ElectionAppendTimeout());
   const bool stored = result.kind == AppendResult::Kind::kStored;
+  election_unconfirmed_ = !stored;
   if (!stored) {
-    schedule_.OnFailure(BootClockNow());
+    schedule_.OnFailure(BootClockNow(), ElectionFailure(result));
   }
   LogEvent("planner_election").With("epoch", epoch).With("stored", stored);
   return stored ? std::optional(result.first_offset + 1) : std::nullopt;
 }
 
+CampaignSchedule::Failure PlannerLeadership::ElectionFailure(
+    const AppendResult& result) const {
+  if (result.is_busy) {
+    return CampaignSchedule::Failure::kBusy;
+  }
+  return result.kind == AppendResult::Kind::kUnknown &&
+                 IsReadable(BootClockNow())
+             ? CampaignSchedule::Failure::kQueued
+             : CampaignSchedule::Failure::kNoAnswer;
+}
+
 std::optional<std::int64_t> PlannerLeadership::Append(
     const std::vector<LedgerRecord>& records,
     std::int64_t epoch) {
+  if (election_unconfirmed_) {
+    // The log service would take an append with the stamp of the election for a
+    // repeat of it, answer as for the election, and store nothing.
+    election_unconfirmed_ = false;
+    fence_.RaiseEpoch();
+  }
   const Time sent_at = BootClockNow();
-  const AppendResult result = AppendFenced(records, epoch);
+  const AppendResult result =
+      AppendFenced(records, epoch, PlannerAppendTimeout(sent_at));
   if (result.kind == AppendResult::Kind::kStored) {
     failing_since_ = Time{0};
     return result.first_offset + static_cast<std::int64_t>(records.size());
   }
-  failing_since_ = failing_since_ == Time{0} ? sent_at : failing_since_;
-  if (result.kind == AppendResult::Kind::kUnknown ||
-      result.kind == AppendResult::Kind::kOutOfSequence) {
+  const bool is_first_failure = failing_since_ == Time{0};
+  failing_since_ = is_first_failure ? sent_at : failing_since_;
+  if (result.kind == AppendResult::Kind::kOutOfSequence ||
+      (result.kind == AppendResult::Kind::kUnknown && is_first_failure)) {
     RaiseFence();
+  } else if (result.kind == AppendResult::Kind::kUnknown) {
+    // The next append fences off this one as well. An empty append for that
+    // would only take another place in the queue of a slow log service.
+    fence_.RaiseEpoch();
   }
   const bool is_failing = failing_since_ != Time{0};
-  const Duration limit = result.kind == AppendResult::Kind::kUnknown
-                             ? StepDownAfterSilence()
-                             : options_.step_down_after;
-  if (is_failing && BootClockNow() - failing_since_ >= limit) {
+  if (is_failing && BootClockNow() - failing_since_ >= StepDownAfter(result)) {
     StepDown(epoch, BootClockNow() - failing_since_);
   }
   return std::nullopt;
 }
 
-Duration PlannerLeadership::StepDownAfterSilence() const {
-  const bool is_readable =
-      options_.last_read_at && options_.last_read_at() > failing_since_;
-  return is_readable ? options_.step_down_after_if_readable
-                     : options_.step_down_after;
+Duration PlannerLeadership::StepDownAfter(const AppendResult& result) const {
+  // A full queue refuses the appends of any other planner as well; that it was
+  // answered shows that the log service can be reached.
+  const bool is_slow_for_all =
+      result.is_busy ||
+      (result.kind == AppendResult::Kind::kUnknown && options_.last_read_at &&
+       options_.last_read_at() > failing_since_);
+  return is_slow_for_all ? options_.step_down_after_if_readable
+                         : options_.step_down_after;
+}
+
+bool PlannerLeadership::IsReadable(Time now) const {
+  return options_.last_read_at &&
+         options_.last_read_at() > now - options_.election_timeout;
+}
+
+Duration PlannerLeadership::ElectionAppendTimeout() const {
+  return std::min(append_timeout_.current(), options_.max_timeout_otherwise);
+}
+
+Duration PlannerLeadership::PlannerAppendTimeout(Time now) const {
+  if (!IsReadable(now)) {
+    return ElectionAppendTimeout();
+  }
+  return failing_since_ == Time{0} ? append_timeout_.current()
+                                   : options_.append_timeout.max_timeout;
 }
 
 AppendResult PlannerLeadership::AppendFenced(
     const std::vector<LedgerRecord>& records,
-    std::int64_t epoch) {
+    std::int64_t epoch,
+    Duration timeout) {
   std::vector<std::string> bytes;
   bytes.reserve(records.size());
   for (const LedgerRecord& r : records) {
     bytes.push_back(EncodeRecord(r));
   }
   const Time sent_at = BootClockNow();
-  AppendResult result = store_->Append(options_.records, bytes, fence_.stamp(),
-                                       append_timeout_.current());
+  AppendResult result =
+      store_->Append(options_.records, bytes, fence_.stamp(), timeout);
   if (result.kind == AppendResult::Kind::kStored) {
     append_timeout_.OnResponse(BootClockNow() - sent_at);
     fence_.OnStored();
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -43,12 +43,20 @@
     // The planner steps down if no append was stored for this long: a quarter
     // of the election timeout, after which the other entries would take over.
     Duration step_down_after{300};
-    // The same if appends are not answered but reads of the log are: the log
-    // service is slow for all, and another planner would not be faster.
+    // The same if appends are refused because too many wait, or not answered
+    // while reads of the log are: the log service is slow for all, and another
+    // planner would not be faster.
     Duration step_down_after_if_readable{1300};
     // When the newest successful read of the log was sent. Empty: not known.
     std::function<Time()> last_read_at;
-    AdaptiveTimeout::Options append_timeout;
+    // The timeout of the planner's appends grows above the queue of the log
+    // service, which refuses an append that would wait for more than 2 s: with
+    // a lower one, a slow log service stores appends of which the planner never
+    // hears.
+    AdaptiveTimeout::Options append_timeout{.max_timeout = Duration{2200}};
+    // Longest timeout of an election, during which the entry does nothing else,
+    // and of appends while reads of the log are not answered either.
+    Duration max_timeout_otherwise{900};
   };
   // Appends a record over any route that still works, without waiting.
   using FallbackAppend = std::function<void(LedgerRecord)>;
@@ -75,11 +83,17 @@
                                      std::int64_t epoch);
 
  private:
+  CampaignSchedule::Failure ElectionFailure(const AppendResult& result) const;
   AppendResult AppendFenced(const std::vector<LedgerRecord>& records,
-                            std::int64_t epoch);
+                            std::int64_t epoch,
+                            Duration timeout);
   void RaiseFence();
   void StepDown(std::int64_t epoch, Duration failing_for);
-  Duration StepDownAfterSilence() const;
+  Duration StepDownAfter(const AppendResult& result) const;
+  // Whether a read of the log was answered within the election timeout.
+  bool IsReadable(Time now) const;
+  Duration ElectionAppendTimeout() const;
+  Duration PlannerAppendTimeout(Time now) const;
 
   const Options options_;
   const std::string id_;
@@ -88,6 +102,8 @@
   CampaignSchedule schedule_;
   std::int64_t scheduled_epoch_ = 0;  // Of the last planner that was seen.
   PlannerFence fence_;
+  // The last election had no answer and may have been stored all the same.
+  bool election_unconfirmed_ = false;
   AdaptiveTimeout append_timeout_;
   // Epoch in which this process was fenced off or stepped down.
   std::int64_t relinquished_epoch_ = -1;
