rules_follower_test: wait for the follower, not for a fixed time

It now waits until the follower has read again after the delivery, which it does only after it has published it; it fails after 10 s. The checks are the same.

--- a/tests/unit/rules_follower_test.cc
+++ b/tests/unit/rules_follower_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "src/node/clock.h"
@@ -36,6 +37,7 @@
   std::vector<KeyedRecord> newest;
   std::int64_t end_offset = 0;
   std::deque<ReadResult> reads;
+  int read_calls = 0;
 };
 
 class TopicStore final : public LogStore {
@@ -54,6 +56,7 @@
                   Duration) override {
     std::this_thread::sleep_for(2ms);
     const std::lock_guard lock(topic_.mutex);
+    ++topic_.read_calls;
     if (topic_.reads.empty()) {
       return {.kind = ReadResult::Kind::kOk, .end_offset = offset};
     }
@@ -79,18 +82,24 @@
                    .bytes = EncodeKeyed("config", std::to_string(version))}}};
 }
 
-// Waits until the deliveries were read, and for one more read.
+// Waits until the deliveries were read and applied: the follower reads again
+// only after it has published what it has read.
 void AwaitReads(Topic& topic) {
-  for (int n = 0; n < 500; ++n) {
+  constexpr int kCallsAfterwards = 2;  // One may have begun before.
+  std::optional<int> calls_then;
+  for (const Time end = BootClockNow() + 10s; BootClockNow() < end;) {
     {
       const std::lock_guard lock(topic.mutex);
-      if (topic.reads.empty()) {
-        break;
+      if (!calls_then && topic.reads.empty()) {
+        calls_then = topic.read_calls;
+      }
+      if (calls_then && topic.read_calls >= *calls_then + kCallsAfterwards) {
+        return;
       }
     }
-    std::this_thread::sleep_for(2ms);
+    std::this_thread::sleep_for(1ms);
   }
-  std::this_thread::sleep_for(20ms);
+  FAIL("the follower does not read");
 }
 
 bool Knows(const RulesFollower& follower, const std::string& key) {
