--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,18 +21,6 @@
 
 }  // namespace
 
-namespace {
-
-Time NewestStart(const LedgerWorker& worker) {
-  Time newest{0};
-  for (const auto& [task, run] : worker.runs) {
-    newest = std::max(newest, run.first_seen_at);
-  }
-  return newest;
-}
-
-}  // namespace
-
 bool Dispatcher::IsQuarantined(const Input& in,
                                const LedgerWorker& worker) const {
   const Duration since_trouble = in.now - worker.last_failure_at;
@@ -59,56 +47,17 @@
         in.rules.closed_data_centres.contains(entry->report.data_centre)) {
       continue;
     }
-    const WorkerCapacity worker{.entry = entry,
-                                .free = entry->report.capacity - entry->used,
-                                .is_quarantined = IsQuarantined(in, *entry),
-                                .is_settled = IsSettled(in, *entry)};
+    const WorkerCapacity worker{
+        .entry = entry,
+        .free = entry->report.capacity - entry->used,
+        .is_quarantined = IsQuarantined(in, *entry),
+        .is_settled = trials_.IsSettled(in.now, *entry)};
     table.Add(agent.incarnation, worker);
   }
-  MarkTrialHosts(in, table);
+  trials_.MarkHosts(in.now, in.ledger, table);
   return table;
 }
 
-bool Dispatcher::IsSettled(const Input& in, const LedgerWorker& worker) const {
-  return in.now - NewestStart(worker) >= options_.settling_time;
-}
-
-// A trial lasts until its run is settled. What crashes the worker afterwards is
-// not its doing.
-void Dispatcher::MarkTrialHosts(const Input& in, CapacityTable& table) const {
-  for (const WorkerCapacity* worker : table.workers()) {
-    for (const auto& [task, run] : worker->entry->runs) {
-      if (in.now - run.first_seen_at < options_.settling_time &&
-          in.ledger.CrashedWorkers(task) >= kTrialCrashedWorkers) {
-        table.MarkTrialHost(worker->entry->report.incarnation);
-      }
-    }
-  }
-}
-
-void Dispatcher::ReserveForTrial(const WaitingUnit& unit,
-                                 CapacityTable& table) {
-  const WorkerCapacity* best = nullptr;
-  for (const WorkerCapacity* worker : table.workers()) {
-    const bool fits = !worker->hosts_trial && !worker->is_quarantined &&
-                      MembersThatFit(unit, *worker, worker->free) > 0;
-    if (fits && (best == nullptr ||
-                 NewestStart(*worker->entry) < NewestStart(*best->entry))) {
-      best = worker;
-    }
-  }
-  table.CountExamined(table.workers().size());
-  if (best != nullptr) {
-    table.MarkTrialHost(best->entry->report.incarnation);
-  }
-}
-
-bool Dispatcher::MayHostMoreTrials(const CapacityTable& table) const {
-  const double limit =
-      options_.max_trial_hosts * static_cast<double>(table.workers().size());
-  return static_cast<double>(table.trial_hosts()) < std::max(1.0, limit);
-}
-
 std::set<std::string> Dispatcher::JobsWithinGuarantee(const Input& in) const {
   // Accelerators wanted by the open jobs of priority 0, by account.
   std::map<std::string, std::int64_t> wanted_accelerators;
@@ -409,7 +358,7 @@
   for (const WaitingUnit& unit : waiting_units) {
     const TaskRef step = FirstTaskOfStep(unit.first_task);
     if (unplaceable_steps.contains(step) ||
-        (unit.needs_trial && !MayHostMoreTrials(table))) {
+        (unit.needs_trial && !trials_.MayHostMore(table))) {
       continue;
     }
     if (const std::optional<UnitPlacement> placement =
@@ -428,7 +377,7 @@
       continue;
     }
     if (unit.needs_trial) {
-      ReserveForTrial(unit, table);
+      TrialRules::KeepWorkerFree(unit, table);
       continue;
     }
     unplaceable_steps.insert(step);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
+#include "src/dispatch/trial_rules.h"
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
 #include "src/rules/rules.h"
@@ -35,13 +36,7 @@
     // differently.
     Duration refusal_backoff{300};
     Duration refusal_backoff_max{4000};
-    // A task that crashes its worker does so as it starts. A worker that was
-    // given no task for this long has survived them all: the longest delay from
-    // the decision to the start, and half a second.
-    Duration settling_time{2500};
-    // Most workers, as a fraction of all, that may host units on trial; at
-    // least one may.
-    double max_trial_hosts = 0.25;
+    TrialRules::Options trials;
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
     double locality_wait_fraction = 0.6;
@@ -84,7 +79,8 @@
     Trace* trace = nullptr;  // Filled if set.
   };
 
-  explicit Dispatcher(Options options) : options_(options) {}
+  explicit Dispatcher(Options options)
+      : options_(options), trials_(options.trials) {}
 
   // Returns the decisions in the order in which they must be appended to the
   // log.
@@ -98,12 +94,6 @@
                           const LedgerJob& job,
                           std::vector<WaitingUnit>& out) const;
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
-  // Marks the workers that run units on trial.
-  void MarkTrialHosts(const Input& in, CapacityTable& table) const;
-  bool MayHostMoreTrials(const CapacityTable& table) const;
-  bool IsSettled(const Input& in, const LedgerWorker& worker) const;
-  // Keeps the worker that is next to be settled free for the unit.
-  static void ReserveForTrial(const WaitingUnit& unit, CapacityTable& table);
   static void ReservePlacement(const WaitingUnit& unit,
                                const UnitPlacement& placement,
                                CapacityTable& table);
@@ -136,6 +126,7 @@
                std::vector<LedgerRecord>& out) const;
 
   Options options_;
+  TrialRules trials_;
 };
 
 }  // namespace marjoramplank
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -171,6 +171,12 @@
 
 }  // namespace
 
+double CoreEquivalent(const Resources& resources) {
+  constexpr double kCoresPerAccelerator = 8;
+  return static_cast<double>(resources.cpu_milli) / 1000 +
+         kCoresPerAccelerator * static_cast<double>(resources.accelerators);
+}
+
 bool MayShare(const WaitingUnit& unit, const WorkerCapacity& worker) {
   if (worker.hosts_trial || !unit.needs_trial) {
     return !worker.hosts_trial;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -41,6 +41,9 @@
 // member of the unit with nothing else running there.
 bool CanRunInDataRack(const CapacityTable& table, const WaitingUnit& unit);
 
+// Resources as a number of cores; an accelerator counts as eight.
+double CoreEquivalent(const Resources& resources);
+
 // True if nothing that runs on the worker or is planned for it forbids the
 // unit: a unit on trial shares a worker only with tasks that have run there for
 // a while, and nothing joins it.
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -6,19 +6,12 @@
 
 namespace {
 
-// Cores that one accelerator counts as in the cost of lost work.
-constexpr double kCoresPerAccelerator = 8;
 // Run time lost by stopping a task that saves checkpoints: it saves one more at
 // the stop, so only the restart is lost. Twice the longest restore time seen on
 // the platform, since the delay of the stop and start records in the ledger
 // comes on top.
 constexpr double kRestartSeconds = 0.5;
 
-double CoreEquivalent(const Resources& r) {
-  return static_cast<double>(r.cpu_milli) / 1000 +
-         kCoresPerAccelerator * static_cast<double>(r.accelerators);
-}
-
 }  // namespace
 
 struct PreemptionSearch::Option {
--- a/src/dispatch/reservation.cc
+++ b/src/dispatch/reservation.cc
@@ -12,13 +12,6 @@
 // Use from which the workers count as busy. The platform demands that no job is
 // left with nothing running at less than half.
 constexpr double kBusyFraction = 0.6;
-// Cores that one accelerator counts as in the use of the workers.
-constexpr double kCoresPerAccelerator = 8;
-
-double CoreEquivalent(const Resources& r) {
-  return static_cast<double>(r.cpu_milli) / 1000 +
-         kCoresPerAccelerator * static_cast<double>(r.accelerators);
-}
 
 const WorkerIncarnation& Id(const WorkerCapacity& worker) {
   return worker.entry->report.incarnation;
