--- /dev/null
+++ b/review/standins/worker.cpp
@@ -0,0 +1,365 @@
+// Stand-in for one life of a worker, as PROTOCOL.md has it. A crash is a
+// SIGKILL; the next life is a new process, with the same id if it is given.
+//   worker --id ID --address IP:PORT --agent IP:PORT --service NAME
+//          --zone ZONE --rack RACK [--cpu N --mem N --gpu N --max-hold MS]
+//          [--clock-offset MS]   of its time of day, which gives `born`
+// The taskSpec says what the tasks of a step do, for example
+// "0:run_ms=2000 1:lasting,fail_ms=4000". SIGTERM: the worker drains, waits
+// for its tasks for 2.5 s, deregisters and ends.
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <csignal>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include "common.hpp"
+
+namespace review {
+namespace {
+
+constexpr std::int64_t kHeartbeatMs = 1500;
+constexpr std::int64_t kStopMs = 50;
+constexpr std::int64_t kLastingStartupMs = 300;
+constexpr std::int64_t kDrainMs = 2500;
+constexpr std::size_t kListedEnds = 500;  // In one answer.
+
+std::int64_t NumberAfter(const std::string& text, const std::string& name) {
+  const std::size_t at = text.find(name + "=");
+  return at == std::string::npos
+             ? 0
+             : std::stoll(text.substr(at + name.size() + 1));
+}
+
+struct Run {
+  std::int64_t run = 0;
+  std::int64_t started = 0;  // On the worker's clock, as all times here.
+  std::int64_t ends = 0;     // 0: lasts.
+  std::int64_t stops = 0;    // 0: no stop.
+  bool fails = false;
+  bool lasting = false;
+};
+
+struct End {
+  std::int64_t number = 0;
+  std::string task;
+  std::int64_t run = 0;
+  std::string how;
+};
+
+class Worker {
+ public:
+  explicit Worker(const Options& o)
+      : o_(o),
+        id_(o.Text("id")),
+        started_(SteadyMs()),
+        born_(UnixMs() + o.Int("clock-offset")) {
+    Note(id_, "life begins, born " + std::to_string(born_) + ", rack " +
+                  o.Text("rack"));
+  }
+
+  Answer Handle(const Call& call) {
+    const Poco::JSON::Object::Ptr in = ParseObject(call.body);
+    std::unique_lock lock(mutex_);
+    Advance();
+    Poco::JSON::Object out;
+    out.set("clockMs", Clock());
+    if (!call.expected_instance.empty() && call.expected_instance != id_) {
+      return {.status = 421, .body = ToText(out)};
+    }
+    const std::int64_t fence = in->optValue<std::int64_t>("fencingToken", 0);
+    if (fence < fence_) {
+      return Refuse(out, "fence");
+    }
+    fence_ = fence;
+    if (call.path == "/v1/run-start") {
+      return Start(*in, out);
+    }
+    if (call.path == "/v1/run-stop") {
+      return Stop(*in, out);
+    }
+    if (call.path == "/v1/hold") {
+      return Hold(*in, out, lock);
+    }
+    return {.status = 404};
+  }
+
+  // Ends tasks at their times.
+  void TickLoop() {
+    for (;;) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      const std::lock_guard lock(mutex_);
+      Advance();
+    }
+  }
+
+  void HeartbeatLoop() {
+    for (;;) {
+      SendHeartbeat();
+      std::unique_lock lock(mutex_);
+      beat_now_.wait_for(lock, std::chrono::milliseconds(kHeartbeatMs));
+    }
+  }
+
+  // Says that it leaves, waits and deregisters.
+  void Leave() {
+    {
+      const std::lock_guard lock(mutex_);
+      draining_ = true;
+    }
+    SendHeartbeat();
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDrainMs));
+    Send("/v1/Instances.Deregister/" + id_, "");
+    Note(id_, "life ends, deregistered");
+    std::_Exit(0);
+  }
+
+ private:
+  std::int64_t Clock() const { return 1000 + SteadyMs() - started_; }
+
+  static Answer Refuse(Poco::JSON::Object& out, const std::string& reason) {
+    out.set("reason", reason);
+    return {.status = 409, .body = ToText(out)};
+  }
+
+  void AddEnd(const std::string& task,
+              std::int64_t run,
+              const std::string& how) {
+    ended_.push_back(
+        {.number = ++end_count_, .task = task, .run = run, .how = how});
+    last_ended_run_[task] = std::max(last_ended_run_[task], run);
+    Note(id_, "run ends " + task + " run " + std::to_string(run) + " " + how +
+                  " number " + std::to_string(end_count_));
+    ended_changed_.notify_all();
+  }
+
+  void Advance() {
+    const std::int64_t now = Clock();
+    if (has_lease_ && now >= lease_) {
+      has_lease_ = false;
+      Note(id_, "lease lapses");
+    }
+    for (auto it = running_.begin(); it != running_.end();) {
+      const Run& r = it->second;
+      std::string how;
+      if (now >= lease_) {
+        how = "lapsed";
+      } else if (r.stops > 0 && now >= r.stops) {
+        how = "stopped";
+      } else if (r.ends > 0 && now >= r.ends) {
+        how = r.fails ? "failed" : "done";
+      }
+      if (how.empty()) {
+        ++it;
+      } else {
+        AddEnd(it->first, r.run, how);
+        it = running_.erase(it);
+      }
+    }
+  }
+
+  void ExtendLease(std::int64_t until) {
+    lease_ =
+        std::max(lease_, std::min(until, Clock() + o_.Int("max-hold", 10000)));
+    has_lease_ = lease_ > Clock();
+  }
+
+  Answer Start(const Poco::JSON::Object& in, Poco::JSON::Object& out) {
+    const std::string task = in.getValue<std::string>("task");
+    const std::int64_t run = in.getValue<std::int64_t>("runId");
+    const std::int64_t until = in.getValue<std::int64_t>("expiresMs");
+    if (until <= Clock()) {
+      return Refuse(out, "late");
+    }
+    ExtendLease(until);
+    const auto it = running_.find(task);
+    if (it != running_.end() && it->second.run == run) {
+      return {.body = ToText(out)};
+    }
+    if (it != running_.end() || run <= last_ended_run_[task]) {
+      return Refuse(out, "old");
+    }
+    const std::string what =
+        Behaviour(task, in.getValue<std::string>("taskSpec"));
+    Run r{.run = run, .started = Clock()};
+    r.lasting = what.find("lasting") != std::string::npos;
+    r.fails = NumberAfter(what, "fail_ms") > 0;
+    const std::int64_t length =
+        r.fails ? NumberAfter(what, "fail_ms") : NumberAfter(what, "run_ms");
+    r.ends = length > 0 ? Clock() + length : 0;
+    running_[task] = r;
+    Note(id_, "run starts " + task + " run " + std::to_string(run) + " fence " +
+                  std::to_string(fence_));
+    return {.body = ToText(out)};
+  }
+
+  // The part of the specification for the step of the task, ID.K.STEP.INDEX.
+  static std::string Behaviour(const std::string& task,
+                               const std::string& spec) {
+    const std::size_t last = task.rfind('.');
+    const std::size_t before = task.rfind('.', last - 1);
+    const std::string step = task.substr(before + 1, last - before - 1);
+    std::istringstream words(spec);
+    for (std::string word; words >> word;) {
+      if (word.starts_with(step + ":")) {
+        return word.substr(step.size() + 1);
+      }
+    }
+    return "run_ms=1000";
+  }
+
+  Answer Stop(const Poco::JSON::Object& in, Poco::JSON::Object& out) {
+    const std::string task = in.getValue<std::string>("task");
+    const std::int64_t run = in.getValue<std::int64_t>("runId");
+    const auto it = running_.find(task);
+    if (it != running_.end() && it->second.run == run) {
+      it->second.stops =
+          it->second.stops == 0 ? Clock() + kStopMs : it->second.stops;
+    } else {
+      last_ended_run_[task] = std::max(last_ended_run_[task], run);
+    }
+    return {.body = ToText(out)};
+  }
+
+  Answer Hold(const Poco::JSON::Object& in,
+              Poco::JSON::Object& out,
+              std::unique_lock<std::mutex>& lock) {
+    const std::int64_t seen = in.optValue<std::int64_t>("lastSeen", 0);
+    if (!ended_.empty() && ended_.front().number <= seen) {
+      Note(id_, "taken note of ends up to " + std::to_string(seen));
+    }
+    while (!ended_.empty() && ended_.front().number <= seen) {
+      ended_.pop_front();
+    }
+    if (in.has("expiresMs")) {
+      ExtendLease(in.getValue<std::int64_t>("expiresMs"));
+    }
+    ended_changed_.wait_for(
+        lock, std::chrono::milliseconds(in.optValue<std::int64_t>("waitMs", 0)),
+        [&] { return !ended_.empty(); });
+    Advance();
+    Poco::JSON::Array running;
+    for (const auto& [task, r] : running_) {
+      Poco::JSON::Array row;
+      row.add(task);
+      row.add(r.run);
+      row.add(std::string());
+      const std::int64_t age = Clock() - r.started;
+      const std::int64_t percent =
+          r.lasting ? (age >= kLastingStartupMs ? 100 : 0)
+          : r.ends > 0
+              ? std::min<std::int64_t>(99, 100 * age / (r.ends - r.started))
+              : 0;
+      row.add(percent);
+      running.add(row);
+    }
+    Poco::JSON::Array ended;
+    for (std::size_t n = 0; n < ended_.size() && n < kListedEnds; ++n) {
+      const End& e = ended_[n];
+      Poco::JSON::Array row;
+      row.add(e.number);
+      row.add(e.task);
+      row.add(e.run);
+      row.add(e.how);
+      row.add(std::string());
+      ended.add(row);
+    }
+    out.set("clockMs", Clock());
+    out.set("born", born_);
+    out.set("running", running);
+    out.set("ended", ended);
+    return {.body = ToText(out)};
+  }
+
+  void SendHeartbeat() {
+    Poco::JSON::Object capacity;
+    capacity.set("cpu", o_.Int("cpu", 128000));
+    capacity.set("memMb", o_.Int("mem", 524288));
+    capacity.set("gpu", o_.Int("gpu", 8));
+    Poco::JSON::Array labels;
+    labels.add(std::string("a"));
+    labels.add(o_.Text("rack"));
+    Poco::JSON::Object body;
+    {
+      const std::lock_guard lock(mutex_);
+      body.set("service", o_.Text("service"));
+      body.set("address", o_.Text("address"));
+      body.set("zone", o_.Text("zone"));
+      body.set("version", std::string("v1"));
+      body.set("slots", 8);
+      body.set("state", std::string(draining_ ? "draining" : "ready"));
+      if (draining_) {
+        body.set("remainingMs", kDrainMs);
+      }
+      body.set("coldRemainingMs", 0);
+      body.set("capacity", capacity);
+      body.set("labels", labels);
+      body.set("clockMs", Clock());
+      body.set("sequence", ++sequence_);
+      body.set("born", born_);
+    }
+    Send("/v1/Instances.Heartbeat/" + id_, ToText(body));
+  }
+
+  void Send(const std::string& target, const std::string& body) {
+    try {
+      Poco::Net::HTTPClientSession session(
+          Poco::Net::SocketAddress(o_.Text("agent")));
+      session.setTimeout(Poco::Timespan(1, 0));
+      Poco::Net::HTTPRequest request("POST", target, "HTTP/1.1");
+      request.setContentType("application/json");
+      request.setContentLength(static_cast<std::streamsize>(body.size()));
+      session.sendRequest(request) << body;
+      Poco::Net::HTTPResponse response;
+      session.receiveResponse(response);
+      if (response.getStatus() != 200) {
+        Note(id_,
+             "heartbeat is answered " + std::to_string(response.getStatus()));
+      }
+    } catch (const Poco::Exception& e) {
+      Note(id_, "heartbeat is not answered: " + e.displayText());
+    }
+  }
+
+  const Options o_;
+  const std::string id_;
+  const std::int64_t started_;
+  const std::int64_t born_;
+  std::mutex mutex_;
+  std::condition_variable ended_changed_;
+  std::condition_variable beat_now_;
+  std::map<std::string, Run> running_;
+  std::deque<End> ended_;
+  std::map<std::string, std::int64_t> last_ended_run_;
+  std::int64_t end_count_ = 0;
+  std::int64_t fence_ = 0;
+  std::int64_t lease_ = 0;
+  bool has_lease_ = false;
+  std::int64_t sequence_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const review::Options options(argc, argv);
+  review::Worker worker(options);
+  const review::Server server(
+      options.Text("address"), 30,
+      [&](const review::Call& call) { return worker.Handle(call); });
+  std::thread([&] { worker.TickLoop(); }).detach();
+  std::thread([&] { worker.HeartbeatLoop(); }).detach();
+  int signal = 0;
+  sigwait(&signals, &signal);
+  worker.Leave();
+}
