Review case 5: jobs that have not begun are not counted as waiting

Cause: a job counts as running once the planner has decided on a start, also if the worker refuses it.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -6,11 +6,20 @@
 SITE_PROGRAM="$REPO/target/marjoramplank-site"
 STANDINS="$REPO/review/bin"
 TROUBLE="${TROUBLE:-1}"
+SITE="${SITE:-obchvat-plany}"  # Or hangyeol-enrol.
 HOST=nony24.example
 KEY=d4a3hwrr6x73d3zji9n7        # Of the tenant kaje80, guaranteed 16 accelerators.
 OTHER_KEY=3hh2b9wu3fexd9dnn2ct  # Of the tenant bilo44, without a guarantee.
 SERVICE=planovac
 
+# maxHoldMs, and the capacity of a worker.
+MAX_HOLD_MS=10000
+CAPACITY=(--cpu 128000 --mem 524288 --gpu 8)
+if [ "$SITE" = hangyeol-enrol ]; then
+  MAX_HOLD_MS=6000
+  CAPACITY=(--cpu 32000 --mem 65536 --gpu 8)
+fi
+
 declare -A PID=()      # Process ids by name.
 declare -A ADDRESS=()  # Addresses by name.
 PORTS=()
@@ -71,7 +80,7 @@
 
 # The settings as the platform makes them from deploy/node.json.
 bounds() {
-  echo '"bounds":{"revoke_ms":5000,"max_lease_ms":10000,"gang_timeout_ms":3000,"reclaim_ms":2700}'
+  echo "\"bounds\":{\"revoke_ms\":5000,\"max_lease_ms\":$MAX_HOLD_MS,\"gang_timeout_ms\":3000,\"reclaim_ms\":2700}"
 }
 
 # start_entry N ZONE
@@ -115,7 +124,8 @@
   local n="$1" zone="$2" rack="$3"
   shift 3
   run "worker-$n" "$STANDINS/worker" --id "i-00$n" --address "${ADDRESS[worker-$n]}" \
-    --agent "${ADDRESS[agent-$n]}" --service "$SERVICE" --zone "$zone" --rack "$rack" "$@"
+    --agent "${ADDRESS[agent-$n]}" --service "$SERVICE" --zone "$zone" --rack "$rack" \
+    --max-hold "$MAX_HOLD_MS" "${CAPACITY[@]}" --control "$DIR/worker-$n.control" "$@"
 }
 
 # The operator's configuration: one queue for each priority.
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -3,7 +3,8 @@
 //   store --address IP:PORT [--control FILE]
 // It answers after 4 ms. The control file may hold a line
 // "lost SHARE": that share of the appends is done and not answered;
-// "late SHARE": they are done 1 to 6 s later instead.
+// "late SHARE": they are done 1 to 6 s later instead;
+// "silent 1": no call is done or answered.
 
 #include <condition_variable>
 #include <deque>
@@ -11,6 +12,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include <Poco/Base64Encoder.h>
@@ -21,6 +23,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAnswerTime{4};
+constexpr std::chrono::milliseconds kControlPoll{10};
 constexpr std::size_t kMaxReadBytes = 1024 * 1024;
 constexpr std::size_t kRepeats = 5;
 constexpr std::size_t kMaxRecordBytes = 262'144;
@@ -62,6 +65,12 @@
   explicit Store(std::string control) : control_(std::move(control)) {}
 
   Answer Handle(const Call& call) {
+    if (Control().first == "silent") {
+      while (Control().first == "silent") {
+        std::this_thread::sleep_for(kControlPoll);
+      }
+      return {.lost = true};
+    }
     const std::string name = Query(call, "topic") + "/" + Query(call, "part");
     if (call.path == "/v1/log-append") {
       std::string how;
@@ -97,14 +106,21 @@
     return it == call.query.end() ? "" : it->second;
   }
 
-  bool IsLost(std::string& how) {
-    const std::lock_guard lock(mutex_);
+  std::pair<std::string, double> Control() const {
+    std::pair<std::string, double> out;
     std::ifstream in(control_);
-    double share = 0;
-    if (control_.empty() || !(in >> how >> share)) {
-      return false;
+    if (control_.empty() || !(in >> out.first >> out.second)) {
+      return {};
     }
-    return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+    return out;
+  }
+
+  bool IsLost(std::string& how) {
+    double share = 0;
+    std::tie(how, share) = Control();
+    const std::lock_guard lock(mutex_);
+    return (how == "lost" || how == "late") &&
+           std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
 
   std::chrono::milliseconds LateWait() {
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -3,6 +3,7 @@
 //   worker --id ID --address IP:PORT --agent IP:PORT --service NAME
 //          --zone ZONE --rack RACK [--cpu N --mem N --gpu N --max-hold MS]
 //          [--clock-offset MS]   of its time of day, which gives `born`
+//          [--control FILE]      while it holds "busy", starts get a 503
 // The taskSpec says what the tasks of a step do, for example
 // "0:run_ms=2000 1:lasting,fail_ms=4000". SIGTERM: the worker drains, waits
 // for its tasks for 2.5 s, deregisters and ends.
@@ -14,6 +15,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <fstream>
 #include <mutex>
 #include <thread>
 
@@ -26,6 +28,7 @@
 constexpr std::int64_t kStopMs = 50;
 constexpr std::int64_t kLastingStartupMs = 300;
 constexpr std::int64_t kDrainMs = 2500;
+constexpr std::int64_t kMaxStepMs = 500;
 constexpr std::size_t kListedEnds = 500;  // In one answer.
 
 std::int64_t NumberAfter(const std::string& text, const std::string& name) {
@@ -56,7 +59,7 @@
   explicit Worker(const Options& o)
       : o_(o),
         id_(o.Text("id")),
-        started_(SteadyMs()),
+        clock_read_at_(SteadyMs()),
         born_(UnixMs() + o.Int("clock-offset")) {
     Note(id_, "life begins, born " + std::to_string(born_) + ", rack " +
                   o.Text("rack"));
@@ -77,6 +80,11 @@
     }
     fence_ = fence;
     if (call.path == "/v1/run-start") {
+      if (IsBusy()) {
+        Note(id_, "is unhealthy: 503 to the start of " +
+                      in->getValue<std::string>("task"));
+        return {.status = 503};
+      }
       return Start(*in, out);
     }
     if (call.path == "/v1/run-stop") {
@@ -119,13 +127,27 @@
   }
 
  private:
-  std::int64_t Clock() const { return 1000 + SteadyMs() - started_; }
+  // The steady clock of the machine. It does not count the time for which the
+  // machine is suspended: a step is never longer than kMaxStepMs.
+  std::int64_t Clock() const { return clock_; }
+
+  void AdvanceClock() {
+    const std::int64_t now = SteadyMs();
+    clock_ += std::min(now - clock_read_at_, kMaxStepMs);
+    clock_read_at_ = now;
+  }
 
   static Answer Refuse(Poco::JSON::Object& out, const std::string& reason) {
     out.set("reason", reason);
     return {.status = 409, .body = ToText(out)};
   }
 
+  bool IsBusy() const {
+    std::ifstream in(o_.Text("control"));
+    std::string word;
+    return in >> word && word == "busy";
+  }
+
   void AddEnd(const std::string& task,
               std::int64_t run,
               const std::string& how) {
@@ -138,6 +160,7 @@
   }
 
   void Advance() {
+    AdvanceClock();
     const std::int64_t now = Clock();
     if (has_lease_ && now >= lease_) {
       has_lease_ = false;
@@ -327,7 +350,8 @@
 
   const Options o_;
   const std::string id_;
-  const std::int64_t started_;
+  std::int64_t clock_ = 1000;
+  std::int64_t clock_read_at_ = 0;
   const std::int64_t born_;
   std::mutex mutex_;
   std::condition_variable ended_changed_;
