--- a/review/lib.sh
+++ b/review/lib.sh
@@ -12,10 +12,12 @@
 OTHER_KEY=3hh2b9wu3fexd9dnn2ct  # Of the tenant bilo44, without a guarantee.
 SERVICE=planovac
 
-# maxHoldMs, and the capacity of a worker.
+# Region, maxHoldMs, and the capacity of a worker.
+REGION=sk-stred
 MAX_HOLD_MS=10000
 CAPACITY=(--cpu 128000 --mem 524288 --gpu 8)
 if [ "$SITE" = hangyeol-enrol ]; then
+  REGION=kr-central
   MAX_HOLD_MS=6000
   CAPACITY=(--cpu 32000 --mem 65536 --gpu 8)
 fi
@@ -31,6 +33,7 @@
   : >"$RECORD"
   DIR="$(mktemp -d)"
   trap finish EXIT
+  trap 'exit 2' TERM INT HUP
   if [ ! -x "$SITE_PROGRAM" ] || [ ! -x "$STANDINS/store" ]; then
     echo "not built: the build of deploy/system.toml and review/build.sh come first"
     exit 2
@@ -141,9 +144,9 @@
 {\"name\":\"bilo44\",\"apiKeys\":[\"$OTHER_KEY\"],\"priority\":1,\"guaranteed\":{\"gpu\":0}}]}"
 }
 
-ZONES=(sk-stred-a sk-stred-b sk-stred-c)
+ZONES=("$REGION-a" "$REGION-b" "$REGION-c")
 # Zone and rack of the 11 workers: 4, 4 and 3 in a zone, at most 3 in a rack.
-WORKER_ZONE=(x sk-stred-a sk-stred-a sk-stred-a sk-stred-a sk-stred-b sk-stred-b sk-stred-b sk-stred-b sk-stred-c sk-stred-c sk-stred-c)
+WORKER_ZONE=(x "${ZONES[0]}" "${ZONES[0]}" "${ZONES[0]}" "${ZONES[0]}" "${ZONES[1]}" "${ZONES[1]}" "${ZONES[1]}" "${ZONES[1]}" "${ZONES[2]}" "${ZONES[2]}" "${ZONES[2]}")
 WORKER_RACK=(x r1-1 r1-1 r1-1 r1-2 r2-1 r2-1 r2-1 r2-2 r3-1 r3-1 r3-1)
 
 # start_deployment: the store, 3 entries and 11 workers with their agents, as on
