Log a heartbeat that changes what an agent believes of its worker

No line of the agent's log told that a heartbeat of another id had come, so a foreign heartbeat could not be told from a silent worker or a start in doubt.

Change: heartbeat_changed, one line when a heartbeat names another incarnation, service, address or state than the one before, with the age of that one. A repeated heartbeat writes nothing, so the log stays bounded.

No logic is changed.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -160,10 +160,30 @@
   wake_condition_.notify_all();
 }
 
+void AgentNode::LogHeartbeatChange(Time now, const WorkerHeartbeat& heartbeat) {
+  const bool is_same = heartbeat.incarnation == last_heartbeat_.incarnation &&
+                       heartbeat.service == last_heartbeat_.service &&
+                       heartbeat.address == last_heartbeat_.address &&
+                       heartbeat.leaving == last_heartbeat_.leaving;
+  if (!is_same) {
+    LogEvent("heartbeat_changed")
+        .With("worker", marjoramplank::ToString(heartbeat.incarnation))
+        .With("service", heartbeat.service)
+        .With("address", heartbeat.address)
+        .With("leaving", heartbeat.leaving)
+        .With("sequence", heartbeat.sequence)
+        .With("before", marjoramplank::ToString(last_heartbeat_.incarnation))
+        .With("before_age_ms", (now - last_heartbeat_received_at_).count());
+  }
+  last_heartbeat_ = heartbeat;
+  last_heartbeat_received_at_ = now;
+}
+
 bool AgentNode::OnHeartbeat(const WorkerHeartbeat& heartbeat) {
+  const Time now = BootClockNow();
   const std::lock_guard lock(mutex_);
-  const bool is_current_incarnation =
-      supervisor_.OnHeartbeat(BootClockNow(), heartbeat);
+  LogHeartbeatChange(now, heartbeat);
+  const bool is_current_incarnation = supervisor_.OnHeartbeat(now, heartbeat);
   Wake();
   return is_current_incarnation;
 }
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -69,6 +69,8 @@
                          Time sent_at);
   void SendHeartbeat(Time now);
   void Wake();
+  // Logs a heartbeat that says something else than the one before.
+  void LogHeartbeatChange(Time now, const WorkerHeartbeat& heartbeat);
 
   const Options options_;
   Metrics metrics_;
@@ -77,10 +79,12 @@
   LedgerFollower ledger_;
   LedgerWriter writer_;
 
-  // Guards supervisor_, command_queue_ and wake_requested_.
+  // Guards supervisor_, last_heartbeat_, command_queue_ and wake_requested_.
   std::mutex mutex_;
   std::condition_variable wake_condition_;
   Supervisor supervisor_;
+  WorkerHeartbeat last_heartbeat_;
+  Time last_heartbeat_received_at_{0};
   std::deque<TaskCommand> command_queue_;
   bool wake_requested_ = false;
 
