A heartbeat of another incarnation is a claim until the worker has answered

Cause: an agent took any readable heartbeat whose birth time was not earlier for its worker's. Another id, or a later birth time, ended the incarnation that was up and at work ("a new incarnation reports"); the planner started its tasks elsewhere 80 ms later. The next real heartbeat changed it back, and the ledger had lost the runs that were still there, so further starts were refused for want of room, and lengthened the leases of the forgotten runs. Class: an unauthenticated statement taken as a fact about a third party.

Ruled out: silence (no lease had run out) and starts in doubt (no refusals "not carried out", whole workers at a time).

Change: a heartbeat that names another incarnation is kept as a claim. The agent asks the worker by a listing addressed to that id; only an answer with that birth time makes it the present incarnation and ends the one before. Questions take turns with listings, so that a flood of claims cannot delay the renewal of leases. A heartbeat in the worker's own name that denies its service, data centre or rack, or whose sequence number leaps, is taken only if the next one agrees.

The same cause elsewhere, mended here: an agent that had restarted and heard its worker first took leases of the process before as expired at the first call without an answer; leases are now assumed for their whole length.

Existing tests: supervisor_test and crashing_task_test let the worker answer the agent's question (heard_worker.h), their checks are unchanged. The job simulation's worker compares only the id a call names and states its start time, as real workers do.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -85,6 +85,20 @@
   return "unknown";
 }
 
+const char* ToString(Supervisor::HeartbeatVerdict verdict) {
+  switch (verdict) {
+    case Supervisor::HeartbeatVerdict::kTaken:
+      return "taken";
+    case Supervisor::HeartbeatVerdict::kClaimed:
+      return "claimed";
+    case Supervisor::HeartbeatVerdict::kOutdated:
+      return "outdated";
+    case Supervisor::HeartbeatVerdict::kContradicted:
+      return "contradicted";
+  }
+  return "unknown";
+}
+
 template <typename Call>
 void LogCommand(const char* event,
                 const Call& call,
@@ -160,7 +174,9 @@
   wake_condition_.notify_all();
 }
 
-void AgentNode::LogHeartbeatChange(Time now, const WorkerHeartbeat& heartbeat) {
+void AgentNode::LogHeartbeatChange(Time now,
+                                   const WorkerHeartbeat& heartbeat,
+                                   Supervisor::HeartbeatVerdict verdict) {
   const bool is_same = heartbeat.incarnation == last_heartbeat_.incarnation &&
                        heartbeat.service == last_heartbeat_.service &&
                        heartbeat.address == last_heartbeat_.address &&
@@ -172,6 +188,7 @@
         .With("address", heartbeat.address)
         .With("leaving", heartbeat.leaving)
         .With("sequence", heartbeat.sequence)
+        .With("verdict", ToString(verdict))
         .With("before", marjoramplank::ToString(last_heartbeat_.incarnation))
         .With("before_age_ms", (now - last_heartbeat_received_at_).count());
   }
@@ -179,13 +196,11 @@
   last_heartbeat_received_at_ = now;
 }
 
-bool AgentNode::OnHeartbeat(const WorkerHeartbeat& heartbeat) {
+void AgentNode::OnHeartbeat(const WorkerHeartbeat& heartbeat) {
   const Time now = BootClockNow();
   const std::lock_guard lock(mutex_);
-  LogHeartbeatChange(now, heartbeat);
-  const bool is_current_incarnation = supervisor_.OnHeartbeat(now, heartbeat);
+  LogHeartbeatChange(now, heartbeat, supervisor_.OnHeartbeat(now, heartbeat));
   Wake();
-  return is_current_incarnation;
 }
 
 void AgentNode::OnDeparture(const std::string& worker_id) {
@@ -322,7 +337,14 @@
     lock.unlock();
     const HoldReply reply =
         endpoint->Hold(*call, call->wait + kHoldTimeoutSlack);
-    if (reply.kind != HoldReply::Kind::kOk) {
+    if (call->verifies_incarnation) {
+      LogEvent("worker_asked")
+          .With("worker", ToString(call->incarnation))
+          .With("fence", call->fence)
+          .With("answered", reply.kind == HoldReply::Kind::kOk)
+          .With("started_at_unix_ms", reply.started_at_unix_ms.value_or(0))
+          .With("reason", reply.reason);
+    } else if (reply.kind != HoldReply::Kind::kOk) {
       LogEvent("hold_failed")
           .With("worker", ToString(call->incarnation))
           .With("fence", call->fence)
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -45,9 +45,7 @@
 
   // Counters and histograms in the Prometheus text format.
   std::string RenderMetrics() const { return metrics_.Render(options_.name); }
-  // Returns false if the heartbeat belongs to an earlier incarnation of the
-  // worker.
-  bool OnHeartbeat(const WorkerHeartbeat& heartbeat);
+  void OnHeartbeat(const WorkerHeartbeat& heartbeat);
   // The worker has deregistered.
   void OnDeparture(const std::string& worker_id);
 
@@ -70,7 +68,9 @@
   void SendHeartbeat(Time now);
   void Wake();
   // Logs a heartbeat that says something else than the one before.
-  void LogHeartbeatChange(Time now, const WorkerHeartbeat& heartbeat);
+  void LogHeartbeatChange(Time now,
+                          const WorkerHeartbeat& heartbeat,
+                          Supervisor::HeartbeatVerdict verdict);
 
   const Options options_;
   Metrics metrics_;
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -20,6 +20,9 @@
 // A task that crashes workers does so as it starts. One that has run for this
 // long, measured to the first sign of the crash, is not to blame.
 constexpr Duration kCrashBlameWindow = 2s;
+// Greatest rise of a heartbeat's sequence number from one to the next: some
+// hours without one. A greater number in a single heartbeat is an error.
+constexpr std::int64_t kMaxSequenceStep = 10'000;
 // Most starts and stops that are returned at once.
 constexpr std::size_t kMaxCallsAtOnce = 64;
 
@@ -29,31 +32,63 @@
     : options_(std::move(options)),
       stored_heartbeat_sent_at_(-options_.leases.max_heartbeat_age) {}
 
-bool Supervisor::OnHeartbeat(Time now, const WorkerHeartbeat& heartbeat) {
-  if (worker_ && heartbeat.incarnation.started_at_unix_ms <
-                     worker_->incarnation.started_at_unix_ms) {
-    return false;
-  }
+Supervisor::HeartbeatVerdict Supervisor::OnHeartbeat(
+    Time now,
+    const WorkerHeartbeat& heartbeat) {
   const bool is_same_incarnation =
       worker_ && worker_->incarnation == heartbeat.incarnation;
-  if (is_same_incarnation && heartbeat.sequence < worker_->sequence) {
-    return true;
+  if (is_same_incarnation && has_announced_departure_) {
+    return HeartbeatVerdict::kOutdated;
+  }
+  if (!is_same_incarnation || has_departed_) {
+    claims_.Add(now, heartbeat);
+    return HeartbeatVerdict::kClaimed;
+  }
+  if (heartbeat.sequence < worker_->sequence) {
+    return HeartbeatVerdict::kOutdated;
   }
-  const bool was_leaving = is_same_incarnation && worker_->leaving;
-  if (worker_ && !is_same_incarnation && !has_departed_) {
-    EndIncarnation(Ending::kUnannounced, "a new incarnation reports");
+  if (IsContradiction(heartbeat)) {
+    return HeartbeatVerdict::kContradicted;
   }
+  const bool was_leaving = worker_->leaving;
   worker_ = heartbeat;
   worker_->leaving = heartbeat.leaving || was_leaving;
   is_adopted_ = false;
-  if (!is_same_incarnation) {
-    ResetWorkerState(now, Time{0}, /*has_answered=*/false);
-  }
   contact_.OnHeartbeat(now);
   UpdateWorkerClock(now, heartbeat.clock_ms);
   // OnLedger() compares the new heartbeat with the ledger.
   is_report_recorded_ = false;
-  return true;
+  return HeartbeatVerdict::kTaken;
+}
+
+bool Supervisor::IsContradiction(const WorkerHeartbeat& heartbeat) {
+  const auto agree = [](const WorkerHeartbeat& a, const WorkerHeartbeat& b) {
+    return a.service == b.service && a.data_centre == b.data_centre &&
+           a.rack == b.rack &&
+           (a.sequence == 0 || b.sequence - a.sequence <= kMaxSequenceStep);
+  };
+  if (agree(*worker_, heartbeat)) {
+    contradiction_.reset();
+    return false;
+  }
+  const bool is_repeated = contradiction_ && agree(*contradiction_, heartbeat);
+  contradiction_ = heartbeat;
+  return !is_repeated;
+}
+
+void Supervisor::TakeIncarnation(Time now,
+                                 const WorkerHeartbeat& heartbeat,
+                                 const HoldReply& reply) {
+  if (worker_ && !has_departed_) {
+    EndIncarnation(Ending::kUnannounced, "a new incarnation answers");
+  }
+  worker_ = heartbeat;
+  is_adopted_ = false;
+  ResetWorkerState(now);
+  contact_.OnAnswer(now);
+  UpdateWorkerClock(now, heartbeat.clock_ms);
+  UpdateWorkerClock(now, reply.clock_ms);
+  is_report_recorded_ = false;
 }
 
 void Supervisor::AdoptRecordedWorker(Time now, const Ledger& ledger) {
@@ -73,9 +108,11 @@
   is_adopted_ = true;
   was_accepting_ = report.accepting;
   adopted_at_ = now;
-  // The process before may have renewed leases until it ended.
-  ResetWorkerState(now, now + options_.leases.MaxLeaseDuration(),
-                   /*has_answered=*/true);
+  ResetWorkerState(now);
+  // A heartbeat that came before the ledger was read.
+  if (const auto claim = claims_.Remove(report.incarnation)) {
+    OnHeartbeat(now, *claim);
+  }
 }
 
 std::optional<Supervisor::HeardWorker> Supervisor::heard_worker(
@@ -87,16 +124,19 @@
                      .age = now - contact_.heard_at()};
 }
 
-void Supervisor::ResetWorkerState(Time now,
-                                  Time leases_end_by,
-                                  bool has_answered) {
-  contact_.Reset(leases_end_by, has_answered);
+void Supervisor::ResetWorkerState(Time now) {
+  // An earlier process of the agent, or this one before it gave the worker up,
+  // may have renewed leases until now.
+  contact_.Reset(now + options_.leases.MaxLeaseDuration(),
+                 /*has_answered=*/true);
+  contradiction_.reset();
   runs_.clear();
   unrecorded_ends_.clear();
   last_queued_end_ = 0;
   last_recorded_end_ = 0;
   last_acked_end_ = 0;
   has_departed_ = false;
+  has_announced_departure_ = false;
   was_ledger_current_ = false;
   needs_resolution_ = true;
   worker_clock_ms_ = 0;
@@ -113,6 +153,7 @@
 
 void Supervisor::EndIncarnation(Ending ending, const std::string& reason) {
   has_departed_ = true;
+  has_announced_departure_ = ending == Ending::kAnnounced;
   // An agent that has not heard the worker itself cannot tell a crash from a
   // power loss, which ends the agent too.
   const bool crashed = ending == Ending::kUnannounced && !worker_->leaving &&
@@ -332,17 +373,31 @@
   return out;
 }
 
-std::optional<HoldCall> Supervisor::NextHold(Time now) {
+bool Supervisor::IsListingDue(Time now) const {
   // A listing resolves only the runs that are known when it is sent, so the
   // ledger must have been read to its end: it holds the commands of earlier
   // processes.
-  if (!worker_ || has_departed_ || fence_ == 0 || !was_ledger_current_) {
+  return worker_ && !has_departed_ && was_ledger_current_ &&
+         now - last_hold_at_ >= contact_.ListingInterval();
+}
+
+std::optional<HoldCall> Supervisor::NextHold(Time now) {
+  if (fence_ == 0) {
     return std::nullopt;
   }
-  const Duration since_last_hold = now - last_hold_at_;
-  if (since_last_hold < contact_.ListingInterval()) {
+  const bool is_listing_due = IsListingDue(now);
+  if (!is_listing_due || !was_claim_asked_) {
+    if (const auto claim = claims_.TakeDue(now)) {
+      was_claim_asked_ = true;
+      return HoldCall{
+          .incarnation = *claim, .fence = fence_, .verifies_incarnation = true};
+    }
+  }
+  was_claim_asked_ = false;
+  if (!is_listing_due) {
     return std::nullopt;
   }
+  const Duration since_last_hold = now - last_hold_at_;
   const bool has_unrecorded_ends = last_queued_end_ > last_recorded_end_;
   const bool has_unacked_ends = last_recorded_end_ > last_acked_end_;
   bool has_started_runs = false;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -9,6 +9,7 @@
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
 #include "src/supervisor/worker_calls.h"
+#include "src/supervisor/worker_claims.h"
 #include "src/supervisor/worker_contact.h"
 
 namespace marjoramplank {
@@ -43,9 +44,16 @@
 
   explicit Supervisor(Options options);
 
-  // Handles a heartbeat of the worker. Returns false if it comes from an
-  // earlier incarnation of the worker.
-  bool OnHeartbeat(Time now, const WorkerHeartbeat& heartbeat);
+  enum class HeartbeatVerdict {
+    kTaken,         // From the incarnation that this agent works with.
+    kClaimed,       // Names another one: the worker is asked first.
+    kOutdated,      // Older than what is known.
+    kContradicted,  // Denies what is known of this incarnation.
+  };
+  // Handles a heartbeat that names this agent's worker. It is evidence of the
+  // worker only if it names the incarnation that has answered calls: see
+  // WorkerClaims.
+  HeartbeatVerdict OnHeartbeat(Time now, const WorkerHeartbeat& heartbeat);
   void OnDeparture(Time now, const std::string& worker_id);
 
   // Takes over the commands in the ledger. `current` is true if the ledger was
@@ -114,10 +122,21 @@
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
 
-  void ResetWorkerState(Time now, Time leases_end_by, bool has_answered);
+  void ResetWorkerState(Time now);
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
   void AdoptRecordedWorker(Time now, const Ledger& ledger);
+  // The worker has answered under this incarnation.
+  void TakeIncarnation(Time now,
+                       const WorkerHeartbeat& heartbeat,
+                       const HoldReply& reply);
+  void OnVerificationReply(Time now,
+                           const HoldCall& call,
+                           const HoldReply& reply);
+  bool IsListingDue(Time now) const;
+  // True if the heartbeat denies what is known of the present incarnation, and
+  // the one before did not deny it in the same way.
+  bool IsContradiction(const WorkerHeartbeat& heartbeat);
   enum class Ending { kAnnounced, kUnannounced };
   // The incarnation has ended, and its tasks with it.
   void EndIncarnation(Ending ending, const std::string& reason);
@@ -144,11 +163,18 @@
   std::int64_t fence_ = 0;
   std::optional<WorkerHeartbeat> worker_;
   WorkerContact contact_;
+  WorkerClaims claims_;
+  // The last heartbeat if it denied what is known of the incarnation.
+  std::optional<WorkerHeartbeat> contradiction_;
+  // The last call asked about a claim. Listings take turns with such calls, so
+  // that no number of claims delays the renewal of leases.
+  bool was_claim_asked_ = false;
   // `worker_` is what the ledger records; no heartbeat was received yet.
   bool is_adopted_ = false;
   bool was_accepting_ = false;  // The adopted worker, by the ledger.
   Time adopted_at_{0};
   bool has_departed_ = false;
+  bool has_announced_departure_ = false;
   // A listing must resolve starts in doubt.
   bool needs_resolution_ = false;
   // At the last OnLedger().
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -161,9 +161,37 @@
   }
 }
 
+void Supervisor::OnVerificationReply(Time now,
+                                     const HoldCall& call,
+                                     const HoldReply& reply) {
+  const bool names_other =
+      reply.started_at_unix_ms &&
+      *reply.started_at_unix_ms != call.incarnation.started_at_unix_ms;
+  if (reply.kind == HoldReply::Kind::kWrongIncarnation || names_other) {
+    claims_.Remove(call.incarnation);
+    return;
+  }
+  const bool was_answered = reply.kind == HoldReply::Kind::kOk ||
+                            reply.kind == HoldReply::Kind::kStale;
+  // Without a start time in the reply, only an id that is new tells the
+  // incarnations apart.
+  const bool is_named = reply.started_at_unix_ms || !worker_ ||
+                        worker_->incarnation.id != call.incarnation.id;
+  if (!was_answered || !is_named) {
+    return;  // Asked again while heartbeats come.
+  }
+  if (const auto heartbeat = claims_.Remove(call.incarnation)) {
+    TakeIncarnation(now, *heartbeat, reply);
+  }
+}
+
 void Supervisor::OnHoldReply(Time now,
                              const HoldCall& call,
                              const HoldReply& reply) {
+  if (call.verifies_incarnation) {
+    OnVerificationReply(now, call, reply);
+    return;
+  }
   if (!worker_ || worker_->incarnation != call.incarnation) {
     return;
   }
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -55,6 +55,9 @@
   // The reply decides whether starts that had no reply were carried out. Not
   // sent to the worker.
   bool resolves_in_doubt = false;
+  // Asks whether this incarnation lives; the lists of the reply are not used.
+  // Not sent to the worker.
+  bool verifies_incarnation = false;
 
   friend bool operator==(const HoldCall&, const HoldCall&) = default;
 };
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -60,6 +60,22 @@
     RC_ASSERT(violations.empty());
   });
 
+  // Guards against tasks that run twice because a heartbeat named another
+  // incarnation of their worker.
+  rc::prop("heartbeats of other writers change nothing", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const bool has_other_faults = *rc::gen::arbitrary<bool>();
+    JobSimulation simulation(
+        {.seed = seed,
+         .lost_reply_share = has_other_faults ? 0.1 : 0,
+         .agent_restarts_per_s = has_other_faults ? 0.3 : 0,
+         .worker_crashes_per_s = has_other_faults ? 0.2 : 0,
+         .foreign_heartbeats_per_s = 3});
+    const std::string violations = Join(simulation.Run());
+    RC_LOG() << "seed " << seed << "\n" << violations;
+    RC_ASSERT(violations.empty());
+  });
+
   // Guards against a task that crashes one worker after the other.
   rc::prop(
       "a task that crashes its workers is given up, its neighbours are not",
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -316,7 +316,7 @@
     return {.kind = RandomBool(0.5) ? HoldReply::Kind::kNotSent
                                     : HoldReply::Kind::kNoAnswer};
   }
-  if (call.incarnation != w.incarnation) {
+  if (call.incarnation.id != w.incarnation.id) {
     return {.kind = HoldReply::Kind::kWrongIncarnation};
   }
   if (call.fence < w.fence) {
@@ -343,8 +343,10 @@
     }
   }
   w.ended = unacknowledged;
-  HoldReply reply{
-      .kind = HoldReply::Kind::kOk, .clock_ms = now_.count(), .ended = w.ended};
+  HoldReply reply{.kind = HoldReply::Kind::kOk,
+                  .started_at_unix_ms = w.incarnation.started_at_unix_ms,
+                  .clock_ms = now_.count(),
+                  .ended = w.ended};
   for (const auto& [task, run] : w.runs) {
     reply.running.push_back({.task = task, .run = run.run});
   }
@@ -504,6 +506,25 @@
   }
 }
 
+// As the worker's own, but for the id or the start time.
+void JobSimulation::SendForeignHeartbeat(Agent& agent) {
+  WorkerIncarnation incarnation = agent.worker.incarnation;
+  if (RandomBool(0.5)) {
+    incarnation.id = "x" + std::to_string(random_() % 4);
+  } else {
+    incarnation.started_at_unix_ms += RandomBool(0.5) ? 1000 : -1000;
+  }
+  agent.supervisor->OnHeartbeat(
+      now_, {.incarnation = incarnation,
+             .service = RandomBool(0.5) ? "s" : "unknown",
+             .data_centre = agent.data_centre,
+             .labels = {"a", "r1"},
+             .rack = "r1",
+             .capacity = {.cpu_milli = 64'000, .accelerators = 8},
+             .sequence = agent.sequence + 1,
+             .clock_ms = now_.count()});
+}
+
 void JobSimulation::InjectFaults() {
   for (auto& agent : agents_) {
     const double share = ToSeconds(kTick) / static_cast<double>(agents_.size());
@@ -516,6 +537,9 @@
     if (RandomBool(options_.worker_losses_per_s * share)) {
       LoseWorker(*agent);
     }
+    if (RandomBool(options_.foreign_heartbeats_per_s * share)) {
+      SendForeignHeartbeat(*agent);
+    }
     if (RandomBool(options_.log_outages_per_s * share)) {
       agent->log_outage_until = now_ + kLogOutage;
     }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -47,6 +47,8 @@
     double failed_run_share = 0;
     // Share of jobs of which one task crashes every worker that starts it.
     double crashing_job_share = 0;
+    // Rate of heartbeats of another writer, which name another incarnation.
+    double foreign_heartbeats_per_s = 0;
     // Rate at which an agent loses the log for 6 s.
     double log_outages_per_s = 0;
     // Rate at which a data centre is closed for 6 s.
@@ -89,6 +91,7 @@
   std::optional<TaskOutcome> FindOutcome(const TaskRef& task,
                                          const FakeWorkerRun& run,
                                          bool lease_expired);
+  void SendForeignHeartbeat(Agent& agent);
   void InjectFaults();
   void UpdateClosedDataCentres();
   void CheckDataCentreOpen(const TaskRef& task,
--- a/tests/unit/crashing_task_test.cc
+++ b/tests/unit/crashing_task_test.cc
@@ -9,6 +9,7 @@
 #include "src/jobs/ledger_codec.h"
 #include "src/jobs/ledger_snapshot.h"
 #include "src/supervisor/supervisor.h"
+#include "tests/support/heard_worker.h"
 
 namespace marjoramplank {
 namespace {
@@ -242,24 +243,25 @@
   Ledger ledger = Cluster(1);
   ledger.Apply(now, AgentHeartbeat{.agent = "a0", .process = "p"});
   Supervisor s({.agent = "a0", .process = "p"});
+  s.OnLedger(now, ledger, /*current=*/false);
 
   SECTION("a new incarnation of a worker that was heard: a crash") {
-    s.OnHeartbeat(now, Heartbeat(1, /*leaving=*/false));
-    s.OnHeartbeat(now + 3s, Heartbeat(2, /*leaving=*/false));
+    REQUIRE(HearWorker(s, now, Heartbeat(1, /*leaving=*/false)));
+    REQUIRE(HearWorker(s, now + 3s, Heartbeat(2, /*leaving=*/false)));
     const auto ends = EndsOf(s, now + 3s);
     REQUIRE(ends.size() == 1);
     CHECK(ends[0].crashed);
     CHECK(ends[0].incarnation.started_at_unix_ms == 1);
   }
   SECTION("a worker that was about to leave: no crash") {
-    s.OnHeartbeat(now, Heartbeat(1, /*leaving=*/true));
-    s.OnHeartbeat(now + 3s, Heartbeat(2, /*leaving=*/false));
+    REQUIRE(HearWorker(s, now, Heartbeat(1, /*leaving=*/true)));
+    REQUIRE(HearWorker(s, now + 3s, Heartbeat(2, /*leaving=*/false)));
     const auto ends = EndsOf(s, now + 3s);
     REQUIRE(ends.size() == 1);
     CHECK_FALSE(ends[0].crashed);
   }
   SECTION("a worker that announces its end: no crash") {
-    s.OnHeartbeat(now, Heartbeat(1, /*leaving=*/false));
+    REQUIRE(HearWorker(s, now, Heartbeat(1, /*leaving=*/false)));
     s.OnDeparture(now, "w0");
     const auto ends = EndsOf(s, now);
     REQUIRE(ends.size() == 1);
@@ -267,7 +269,7 @@
   }
   SECTION("a worker that only an earlier process has heard: not known") {
     s.OnLedger(now, ledger, /*current=*/true);  // Takes what is recorded.
-    s.OnHeartbeat(now + 1s, Heartbeat(2, /*leaving=*/false));
+    REQUIRE(HearWorker(s, now + 1s, Heartbeat(2, /*leaving=*/false)));
     const auto ends = EndsOf(s, now + 1s);
     REQUIRE(ends.size() == 1);
     CHECK_FALSE(ends[0].crashed);
@@ -288,7 +290,7 @@
   }
 
   std::vector<SuspectRun> SuspectsOfReturn(Time at) {
-    s.OnHeartbeat(at, Heartbeat(2, /*leaving=*/false));
+    REQUIRE(HearWorker(s, at, Heartbeat(2, /*leaving=*/false)));
     const auto ends = EndsOf(s, at);
     REQUIRE(ends.size() == 1);
     REQUIRE(ends[0].crashed);
--- a/tests/unit/supervisor_test.cc
+++ b/tests/unit/supervisor_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/support/heard_worker.h"
+
 namespace marjoramplank {
 namespace {
 
@@ -50,7 +52,10 @@
 
 Supervisor SupervisorAfterHeartbeat(Time now) {
   Supervisor s({.agent = "agent", .process = "new"});
-  s.OnHeartbeat(now, Heartbeat(1));
+  Ledger own_heartbeat;
+  own_heartbeat.Apply(now, AgentHeartbeat{.agent = "agent", .process = "new"});
+  s.OnLedger(now, own_heartbeat, /*current=*/false);
+  REQUIRE(HearWorker(s, now, Heartbeat(1)));
   s.OnAgentHeartbeatStored(now);
   return s;
 }
@@ -87,7 +92,7 @@
     without_worker.Apply(now,
                          AgentHeartbeat{.agent = "agent", .process = "new"});
     supervisor.OnLedger(now, without_worker, /*current=*/true);
-    supervisor.OnHeartbeat(now, Heartbeat(1));
+    REQUIRE(HearWorker(supervisor, now, Heartbeat(1)));
     CHECK_FALSE(supervisor.NextHold(now).has_value());
     supervisor.OnLedger(now, ledger, /*current=*/true);
     CHECK(supervisor.NextHold(now).has_value());
