An agent's statements about its worker are ordered by number, not by birth time

Suspected beside it: a report or an end that is stored late is taken for the present state of the worker.

Cause: the ledger ordered the incarnations of a worker by their birth times, which a clock set back turns round; a repeated record of an earlier state had no mark at all. Class: a stale statement taken for the present, the same as the foreign heartbeat's; found by looking for that cause elsewhere.

Change: WorkerReported and the agent's WorkerEmptied carry the agent's process and a number that rises with each. The ledger takes only a number above the last one of the agent's present process, and no heartbeat of the process that was replaced. Records of earlier versions are ordered as before. The agent appends the records of its two threads in the order in which it made them. Schema: Worker 9 and 10, workerEmptied 43 and 44, AgentState 4 and 5.

What remains: only the one process before is remembered; a heartbeat of an earlier one that is stored late counts as a new start until the next one.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -72,6 +72,8 @@
   capacity @6 : Resources;
   accepting @7 : Bool;
   leavesInMs @8 : Int64;
+  process @9 : Text;
+  statement @10 : Int64;
 }
 
 struct EntryRelay {
@@ -101,6 +103,8 @@
       reason @7 : Text;
       crashed @41 : Bool;
       suspects @42 : List(SuspectRun);
+      process @43 : Text;
+      statement @44 : Int64;
     }
     plannerElected : group {
       entry @8 : Text;
@@ -206,6 +210,8 @@
   life @1 : Life;
   process @2 : Text;
   starts @3 : Int64;
+  processBefore @4 : Text;
+  lastStatement @5 : Int64;
 }
 
 struct Snapshot {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -123,9 +123,13 @@
 
 bool Ledger::ApplyRecord(Time now, const AgentHeartbeat& r) {
   LedgerAgent& agent = agents_[r.agent];
+  if (!r.process.empty() && r.process == agent.process_before) {
+    return false;  // Delayed heartbeat of a process that was replaced.
+  }
   agent.last_heartbeat_at = now;
   if (agent.process != r.process) {
-    agent.process = r.process;
+    agent.process_before = std::exchange(agent.process, r.process);
+    agent.last_statement = 0;
     ++agent.process_start_count;
   }
   const bool is_stated = r.heard_ago >= Duration(0);
@@ -147,10 +151,22 @@
   return changed;
 }
 
+bool Ledger::TakeStatement(LedgerAgent& agent, const AgentStatement& s) {
+  if (s.process != agent.process || s.number <= agent.last_statement) {
+    return false;
+  }
+  agent.last_statement = s.number;
+  return true;
+}
+
 bool Ledger::ApplyRecord(Time now, const WorkerReported& r) {
   LedgerAgent& agent = agents_[r.agent];
-  if (agent.incarnation.started_at_unix_ms > r.incarnation.started_at_unix_ms) {
-    return false;  // Delayed report of an earlier incarnation.
+  const bool is_delayed = r.statement.process.empty()
+                              ? agent.incarnation.started_at_unix_ms >
+                                    r.incarnation.started_at_unix_ms
+                              : !TakeStatement(agent, r.statement);
+  if (is_delayed) {
+    return false;
   }
   if (agent.incarnation != r.incarnation) {
     if (const auto old = workers_.find(agent.incarnation);
@@ -176,6 +192,10 @@
   if (it == workers_.end() || (r.epoch != 0 && r.epoch != planner_epoch_)) {
     return false;
   }
+  if (!r.statement.process.empty() &&
+      !TakeStatement(agents_[it->second.report.agent], r.statement)) {
+    return false;
+  }
   if (r.crashed) {
     CountCrash(it->second, r);
   }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -103,8 +103,11 @@
 struct LedgerAgent {
   WorkerIncarnation incarnation;  // Latest incarnation of its worker.
   std::string process;            // Process that sent the last heartbeat.
+  std::string process_before;     // The one that it has replaced.
   // Process starts seen so far; it scopes the fencing tokens.
   std::int64_t process_start_count = 0;
+  // Number of the last statement of the process about its worker.
+  std::int64_t last_statement = 0;
   Time last_heartbeat_at{0};  // When this process read the last heartbeat.
   // The worker that the agent has heard, and when, by this process's clock.
   // Not replicated, and not taken from history: see ForgetLiveness(). Empty id:
@@ -174,6 +177,8 @@
   bool ApplyRecord(Time now, const StartRefused& r);
   bool ApplyRecord(Time now, const RunObserved& r);
 
+  // Returns false if a newer statement of the agent has been read.
+  static bool TakeStatement(LedgerAgent& agent, const AgentStatement& s);
   bool MayStart(const RunStarted& r) const;
   // Null: unknown job, occurrence, step or task.
   RunUnit* FindUnit(const TaskRef& task);
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -53,6 +53,8 @@
     suspects[i].setRun(r.suspects[i].run);
   }
   w.setReason(r.reason);
+  w.setProcess(r.statement.process);
+  w.setStatement(r.statement.number);
 }
 void WriteRecord(const PlannerElected& r, WireRecord::Builder out) {
   auto w = out.initPlannerElected();
@@ -129,7 +131,9 @@
                         .epoch = w.getEpoch(),
                         .incarnation_ended = w.getGone(),
                         .crashed = w.getCrashed(),
-                        .reason = FromWire(w.getReason())};
+                        .reason = FromWire(w.getReason()),
+                        .statement = {.process = FromWire(w.getProcess()),
+                                      .number = w.getStatement()}};
       for (const auto suspect : w.getSuspects()) {
         out.suspects.push_back(
             {.task = FromWire(suspect.getTask()), .run = suspect.getRun()});
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -65,6 +65,15 @@
   friend bool operator==(const EntryStarted&, const EntryStarted&) = default;
 };
 
+// Orders what an agent states about its worker. Times of day don't: a worker's
+// clock may be set back between two incarnations.
+struct AgentStatement {
+  std::string process;      // Of the agent. Empty: by an earlier version.
+  std::int64_t number = 0;  // Rises with each statement of the process.
+  friend bool operator==(const AgentStatement&,
+                         const AgentStatement&) = default;
+};
+
 // An agent's report of its worker: appended when the worker appears and when a
 // field changes.
 struct WorkerReported {
@@ -77,6 +86,7 @@
   Resources capacity;
   bool accepting = true;          // False: draining or unreachable.
   std::int64_t leaves_in_ms = 0;  // While draining: least time left.
+  AgentStatement statement;
   friend bool operator==(const WorkerReported&,
                          const WorkerReported&) = default;
 };
@@ -93,6 +103,7 @@
   // Which of its runs may have crashed it. Empty: none was started lately.
   std::vector<SuspectRun> suspects;
   std::string reason;
+  AgentStatement statement;  // Empty: of the planner.
   friend bool operator==(const WorkerEmptied&, const WorkerEmptied&) = default;
 };
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -189,6 +189,8 @@
     ToWire(agent.incarnation, a.initLife());
     a.setProcess(agent.process);
     a.setStarts(agent.process_start_count);
+    a.setProcessBefore(agent.process_before);
+    a.setLastStatement(agent.last_statement);
   }
   auto entries = out.initEntries(static_cast<unsigned>(ledger.entries_.size()));
   n = 0;
@@ -236,7 +238,9 @@
       ledger.agents_[FromWire(agent.getAgent())] = {
           .incarnation = FromWire(agent.getLife()),
           .process = FromWire(agent.getProcess()),
+          .process_before = FromWire(agent.getProcessBefore()),
           .process_start_count = agent.getStarts(),
+          .last_statement = agent.getLastStatement(),
           .last_heartbeat_at = now};
     }
     for (const auto entry : in.getEntries()) {
--- a/src/jobs/ledger_wire.cc
+++ b/src/jobs/ledger_wire.cc
@@ -103,6 +103,8 @@
   ToWire(in.capacity, out.initCapacity());
   out.setAccepting(in.accepting);
   out.setLeavesInMs(in.leaves_in_ms);
+  out.setProcess(in.statement.process);
+  out.setStatement(in.statement.number);
 }
 
 void ToWire(const EntryStarted& in, EntryRelay::Builder out) {
@@ -162,7 +164,9 @@
                      .rack = FromWire(in.getRack()),
                      .capacity = FromWire(in.getCapacity()),
                      .accepting = in.getAccepting(),
-                     .leaves_in_ms = in.getLeavesInMs()};
+                     .leaves_in_ms = in.getLeavesInMs(),
+                     .statement = {.process = FromWire(in.getProcess()),
+                                   .number = in.getStatement()}};
   for (const auto label : in.getLabels()) {
     out.labels.push_back(FromWire(label));
   }
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -242,7 +242,6 @@
 }
 
 void AgentNode::Reconcile(Time now) {
-  std::vector<LedgerRecord> records;
   {
     const std::lock_guard lock(mutex_);
     ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
@@ -252,10 +251,9 @@
     for (TaskCommand& command : supervisor_.TakeCommands(now)) {
       command_queue_.push_back(std::move(command));
     }
-    records = supervisor_.TakeRecords(now);
+    AppendRecords(supervisor_.TakeRecords(now));
     wake_condition_.notify_all();
   }
-  AppendRecords(std::move(records));
 }
 
 void AgentNode::AppendRecords(std::vector<LedgerRecord> records) {
@@ -356,11 +354,8 @@
     for (TaskCommand& command : supervisor_.TakeCommands(now)) {
       command_queue_.push_back(std::move(command));
     }
-    std::vector<LedgerRecord> records = supervisor_.TakeRecords(now);
+    AppendRecords(supervisor_.TakeRecords(now));
     wake_condition_.notify_all();
-    lock.unlock();
-    AppendRecords(std::move(records));
-    lock.lock();
   }
 }
 
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -61,6 +61,7 @@
   // Renews the leases of the worker's tasks and lists the tasks.
   void HoldLoop(std::unique_ptr<TaskEndpoint> endpoint);
   void Reconcile(Time now);
+  // Call with mutex_ held: keeps the records of both threads in order.
   void AppendRecords(std::vector<LedgerRecord> records);
   void CountCommandReply(const TaskCommand& call,
                          const CommandReply& reply,
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -161,7 +161,8 @@
   WorkerEmptied record{.incarnation = worker_->incarnation,
                        .incarnation_ended = true,
                        .crashed = crashed,
-                       .reason = reason};
+                       .reason = reason,
+                       .statement = NextStatement()};
   if (crashed) {
     record.suspects = RunsStartedBefore(
         contact_.IsFailing() ? contact_.failing_since() : contact_.heard_at());
@@ -185,6 +186,10 @@
          contact_.IsReachable(now);
 }
 
+AgentStatement Supervisor::NextStatement() {
+  return {.process = options_.process, .number = ++last_statement_};
+}
+
 WorkerReported Supervisor::MakeWorkerReport(Time now) const {
   return {.agent = options_.agent,
           .incarnation = worker_->incarnation,
@@ -251,6 +256,7 @@
   if (is_report_recorded_) {
     WorkerReported recorded = entry->report;
     recorded.leaves_in_ms = report.leaves_in_ms;
+    recorded.statement = report.statement;
     is_report_recorded_ = recorded == report;
   }
   if (entry == nullptr) {
@@ -443,7 +449,9 @@
   if (worker_ && !has_departed_ && !is_report_recorded_ && may_report &&
       now - report_sent_at_ >= options_.report_retry_interval) {
     report_sent_at_ = now;
-    out.emplace_back(MakeWorkerReport(now));
+    WorkerReported report = MakeWorkerReport(now);
+    report.statement = NextStatement();
+    out.emplace_back(std::move(report));
   }
   if (!worker_ || has_departed_ ||
       now - last_observation_at_ < kObservationInterval) {
@@ -474,7 +482,8 @@
     emptied_at_ = now;
     out.emplace_back(
         WorkerEmptied{.incarnation = worker_->incarnation,
-                      .reason = "no answer until every lease had run out"});
+                      .reason = "no answer until every lease had run out",
+                      .statement = NextStatement()});
   }
   return out;
 }
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -69,7 +69,8 @@
   void OnStopReply(Time now, const StopCall& call, const CommandReply& reply);
   void OnHoldReply(Time now, const HoldCall& call, const HoldReply& reply);
 
-  // Next actions; each is returned once.
+  // Next actions; each is returned once. Records are to be appended in their
+  // order.
   std::vector<TaskCommand> TakeCommands(Time now);
   std::optional<HoldCall> NextHold(Time now);  // Empty: nothing to list now.
   std::vector<LedgerRecord> TakeRecords(Time now);
@@ -157,6 +158,7 @@
   std::int64_t LeaseExpiryMs(Time now) const;
   void UpdateWorkerClock(Time now, std::optional<std::int64_t> clock_ms);
   WorkerReported MakeWorkerReport(Time now) const;
+  AgentStatement NextStatement();
 
   Options options_;
   // 0: the ledger has no heartbeat of this process yet.
@@ -195,6 +197,7 @@
   std::int64_t last_recorded_end_ = 0;
   std::int64_t last_acked_end_ = 0;
   std::vector<LedgerRecord> pending_records_;
+  std::int64_t last_statement_ = 0;
   std::int64_t worker_clock_ms_ = 0;  // At `worker_clock_at_`. 0: unknown.
   Time worker_clock_at_{0};
   // Send time of the newest heartbeat in the log.
--- a/tests/unit/foreign_heartbeat_test.cc
+++ b/tests/unit/foreign_heartbeat_test.cc
@@ -164,7 +164,8 @@
     rig.supervisor.OnHeartbeat(rig.now, Heartbeat(rig.living, 1));
     rig.Run(1s);
     CHECK(rig.supervisor.heard_worker(rig.now)->incarnation == rig.living);
-    CHECK(rig.supervisor.IsAcceptingWork(rig.now));
+    REQUIRE(rig.ledger.FindWorker(rig.living) != nullptr);
+    CHECK(rig.ledger.FindWorker(rig.living)->report.accepting);
   }
   SECTION("a late heartbeat of the incarnation before changes nothing") {
     rig.living = {.id = "w2", .started_at_unix_ms = kBorn + 7000};
