Plans are appended in parts that the log service takes

What callers saw: after a plan of 28,000 starts nothing started any more, for any client account.

Cause: PlannerLeadership::Append passed a plan on as one append of any size. The refusal (413) counted as "no answer", so the planner fenced it off, made the same plan again, stepped down, and the next planner did the same.

Change: AppendLimits (256 KiB a record, 512 KiB a call) cuts the plan. Each part is a prefix of the rest of the plan. That is sound: a start uses only what is free on the ledger, stops stand before the starts of later units, and the starts that need the room come in a later plan; a gang is one record. The first part that is not stored ends the append. So does a time of 400 ms, since the planner's heartbeat goes with the next plan. Append() returns the end of what was stored, and the planner replays it before it plans again. Answers 400 and 413 are refusals for the size: the limits are lowered, so that the next append is smaller; one record alone that is refused is left out, and is not sent again. Below 16 KiB the size cannot be the reason, and the refusal is treated as any other. A decision larger than a record (a gang of more than 8,000 tasks) is left out and logged; the others are appended.

Ruled out: appending one part a plan and planning again after each. 350,000 waiting tasks would be planned 50 times.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -83,7 +83,8 @@
       : options_(options), trials_(options.trials) {}
 
   // Returns the decisions in the order in which they must be appended to the
-  // log.
+  // log. Each is sound after those before it: a start uses only capacity that
+  // is free already, never that of a run that the same plan stops.
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
  private:
--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -26,7 +26,8 @@
       store_(std::move(store)),
       fallback_append_(std::move(fallback_append)),
       schedule_(options_.name, {}),
-      append_timeout_(options_.append_timeout) {}
+      append_timeout_(options_.append_timeout),
+      limits_(options_.limits) {}
 
 bool PlannerLeadership::IsLeader(const PlannerView& planner_view) const {
   return planner_view.planner_id == id_ &&
@@ -66,8 +67,8 @@
   // An election without an answer needs no fence: if it is stored late, it is
   // as good, or void.
   const AppendResult result =
-      AppendFenced({PlannerElected{.entry = id_, .epoch = epoch}}, epoch - 1,
-                   ElectionAppendTimeout());
+      AppendFenced({EncodeRecord(PlannerElected{.entry = id_, .epoch = epoch})},
+                   epoch - 1, ElectionAppendTimeout());
   const bool stored = result.kind == AppendResult::Kind::kStored;
   election_unconfirmed_ = !stored;
   if (!stored) {
@@ -97,13 +98,54 @@
     election_unconfirmed_ = false;
     fence_.RaiseEpoch();
   }
-  const Time sent_at = BootClockNow();
-  const AppendResult result =
-      AppendFenced(records, epoch, PlannerAppendTimeout(sent_at));
-  if (result.kind == AppendResult::Kind::kStored) {
+  const std::vector<std::string> encoded = EncodeAppendable(records);
+  const Time begun_at = BootClockNow();
+  std::optional<std::int64_t> log_end;
+  std::size_t begin = 0;
+  while (begin < encoded.size()) {
+    const Time sent_at = BootClockNow();
+    if (log_end && sent_at - begun_at >= options_.max_append_time) {
+      break;
+    }
+    const std::vector<std::string> part(
+        encoded.begin() + static_cast<std::ptrdiff_t>(begin),
+        encoded.begin() +
+            static_cast<std::ptrdiff_t>(limits_.EndOfPart(encoded, begin)));
+    const AppendResult result =
+        AppendFenced(part, epoch, PlannerAppendTimeout(sent_at));
+    if (result.is_too_large && limits_.OnTooLarge(part)) {
+      begin += part.size() == 1 ? 1 : 0;  // A single record is left out.
+      continue;
+    }
+    if (result.kind != AppendResult::Kind::kStored) {
+      OnAppendFailed(result, sent_at, epoch);
+      break;
+    }
     failing_since_ = Time{0};
-    return result.first_offset + static_cast<std::int64_t>(records.size());
+    begin += part.size();
+    log_end = result.first_offset + static_cast<std::int64_t>(part.size());
   }
+  return log_end;
+}
+
+std::vector<std::string> PlannerLeadership::EncodeAppendable(
+    const std::vector<LedgerRecord>& records) const {
+  std::vector<std::string> out;
+  out.reserve(records.size());
+  for (const LedgerRecord& r : records) {
+    std::string bytes = EncodeRecord(r);
+    if (limits_.MayAppend(bytes)) {
+      out.push_back(std::move(bytes));
+    } else {
+      LogEvent("decision_too_large").With("bytes", bytes.size());
+    }
+  }
+  return out;
+}
+
+void PlannerLeadership::OnAppendFailed(const AppendResult& result,
+                                       Time sent_at,
+                                       std::int64_t epoch) {
   const bool is_first_failure = failing_since_ == Time{0};
   failing_since_ = is_first_failure ? sent_at : failing_since_;
   if (result.kind == AppendResult::Kind::kOutOfSequence ||
@@ -118,7 +160,6 @@
   if (is_failing && BootClockNow() - failing_since_ >= StepDownAfter(result)) {
     StepDown(epoch, BootClockNow() - failing_since_);
   }
-  return std::nullopt;
 }
 
 Duration PlannerLeadership::StepDownAfter(const AppendResult& result) const {
@@ -150,17 +191,12 @@
 }
 
 AppendResult PlannerLeadership::AppendFenced(
-    const std::vector<LedgerRecord>& records,
+    const std::vector<std::string>& records,
     std::int64_t epoch,
     Duration timeout) {
-  std::vector<std::string> bytes;
-  bytes.reserve(records.size());
-  for (const LedgerRecord& r : records) {
-    bytes.push_back(EncodeRecord(r));
-  }
   const Time sent_at = BootClockNow();
   AppendResult result =
-      store_->Append(options_.records, bytes, fence_.stamp(), timeout);
+      store_->Append(options_.records, records, fence_.stamp(), timeout);
   if (result.kind == AppendResult::Kind::kStored) {
     append_timeout_.OnResponse(BootClockNow() - sent_at);
     fence_.OnStored();
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -11,6 +11,7 @@
 #include "src/node/campaign_schedule.h"
 #include "src/node/planner_fence.h"
 #include "src/store/adaptive_timeout.h"
+#include "src/store/append_limits.h"
 #include "src/store/log_store.h"
 
 namespace marjoramplank {
@@ -57,6 +58,10 @@
     // Longest timeout of an election, during which the entry does nothing else,
     // and of appends while reads of the log are not answered either.
     Duration max_timeout_otherwise{900};
+    AppendLimits::Options limits;
+    // No further part of a plan is begun after this: the next plan has the
+    // planner's heartbeat, and a newer state.
+    Duration max_append_time{400};
   };
   // Appends a record over any route that still works, without waiting.
   using FallbackAppend = std::function<void(LedgerRecord)>;
@@ -76,15 +81,24 @@
                    bool is_draining,
                    std::size_t entries);
 
-  // Both return the end of the log after the append, or nothing if it is not
-  // known to be stored.
+  // Returns the end of the log after the append, or nothing if it is not known
+  // to be stored.
   std::optional<std::int64_t> Campaign(std::int64_t epoch);
+  // Appends the records in parts that each fit into one call. Stops at the
+  // first part that is not known to be stored, and returns the end of the log
+  // after the part before it. Leaves out a record that is too large.
   std::optional<std::int64_t> Append(const std::vector<LedgerRecord>& records,
                                      std::int64_t epoch);
 
  private:
   CampaignSchedule::Failure ElectionFailure(const AppendResult& result) const;
-  AppendResult AppendFenced(const std::vector<LedgerRecord>& records,
+  // Encodes the records, without those that are too large.
+  std::vector<std::string> EncodeAppendable(
+      const std::vector<LedgerRecord>& records) const;
+  void OnAppendFailed(const AppendResult& result,
+                      Time sent_at,
+                      std::int64_t epoch);
+  AppendResult AppendFenced(const std::vector<std::string>& records,
                             std::int64_t epoch,
                             Duration timeout);
   void RaiseFence();
@@ -105,6 +119,7 @@
   // The last election had no answer and may have been stored all the same.
   bool election_unconfirmed_ = false;
   AdaptiveTimeout append_timeout_;
+  AppendLimits limits_;
   // Epoch in which this process was fenced off or stepped down.
   std::int64_t relinquished_epoch_ = -1;
   Time failing_since_{0};  // 0: the last append was stored.
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -39,6 +39,7 @@
   std::int64_t first_offset = 0;  // Offset of the first record, if stored.
   std::string reason;             // For the event log, if not stored.
   bool is_busy = false;           // Refused: too many calls wait already.
+  bool is_too_large = false;      // Refused: a record or the call is too large.
 };
 
 struct LogRecordBytes {
