A record that is too large does not stop a writer of the ledger

A record above the 256 KiB of the log service (a worker's report with many labels, a job with many names) is refused, LedgerWriter sent it again for ever, and every later record of that process waited behind it: heartbeats of an agent, submissions of an entry, the records of a whole data centre at a relay.

Evidence, tests/unit/append_size_test.cc on the code before: append_size_test.cc:192: FAILED: CHECK( append_small() == LedgerWriter::Outcome::kStored ) with expansion: 1 == 0 append_size_test.cc:199: FAILED: (a log service with lower limits) the last section did not end (ended by SIGTERM after 60 s)

Change: the writer uses AppendLimits as the planner does. A record above the limit is completed as not stored (as unknown if an earlier attempt had no answer) and logged; a batch that is refused for its size is shortened, and the rest returns to the queue in order.

--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -16,8 +16,6 @@
 // with jitter.
 constexpr Duration kMinRetryDelay = 20ms;
 constexpr Duration kMaxRetryDelay = 240ms;
-// Limits of one append call; the platform accepts up to 2 MiB.
-constexpr std::size_t kMaxBatchBytes = 512 * 1024;
 constexpr std::size_t kMaxBatchRecords = 256;
 // The writer checks for a stop request, and Drain() for its completion, at
 // least this often.
@@ -49,7 +47,8 @@
     : options_(std::move(options)),
       store_(std::move(store)),
       metrics_(metrics),
-      append_timeout_(options_.append_timeout) {
+      append_timeout_(options_.append_timeout),
+      limits_(options_.limits) {
   thread_ = std::thread([this] { Loop(); });
 }
 
@@ -138,9 +137,9 @@
   }
   std::vector<Pending> batch;
   std::size_t bytes = 0;
-  while (
-      !queue_.empty() && batch.size() < kMaxBatchRecords &&
-      (batch.empty() || bytes + queue_.front().bytes.size() < kMaxBatchBytes)) {
+  while (!queue_.empty() && batch.size() < kMaxBatchRecords &&
+         (batch.empty() ||
+          bytes + queue_.front().bytes.size() < limits_.max_call_bytes())) {
     bytes += queue_.front().bytes.size();
     batch.push_back(std::move(queue_.front()));
     queue_.pop_front();
@@ -189,13 +188,44 @@
   }
 }
 
+void LedgerWriter::RejectOversized(std::vector<Pending>& batch, Time now) {
+  const auto first_oversized = std::stable_partition(
+      batch.begin(), batch.end(),
+      [&](const Pending& p) { return limits_.MayAppend(p.bytes); });
+  for (auto it = first_oversized; it != batch.end(); ++it) {
+    LogEvent("record_too_large").With("bytes", it->bytes.size());
+    if (it->item.on_done) {
+      it->item.on_done(
+          it->maybe_stored ? Outcome::kUnknown : Outcome::kNotStored, now);
+    }
+  }
+  batch.erase(first_oversized, batch.end());
+}
+
+void LedgerWriter::ShortenBatch(std::vector<Pending>& batch) {
+  const auto end = batch.begin() + static_cast<std::ptrdiff_t>(
+                                       limits_.EndOfPart(BytesOf(batch), 0));
+  const std::lock_guard lock(mutex_);
+  queue_.insert(queue_.begin(), std::make_move_iterator(end),
+                std::make_move_iterator(batch.end()));
+  batch.erase(end, batch.end());
+}
+
+std::vector<std::string> LedgerWriter::BytesOf(
+    const std::vector<Pending>& batch) {
+  std::vector<std::string> out;
+  out.reserve(batch.size());
+  for (const Pending& p : batch) {
+    out.push_back(p.bytes);
+  }
+  return out;
+}
+
 AppendResult LedgerWriter::TryAppend(const std::vector<Pending>& batch,
                                      Time sent_at) {
-  std::vector<std::string> records;
-  records.reserve(batch.size());
+  const std::vector<std::string> records = BytesOf(batch);
   Time deadline = kNever;
   for (const Pending& p : batch) {
-    records.push_back(p.bytes);
     deadline = std::min(deadline, p.item.deadline);
   }
   const Duration timeout =
@@ -208,6 +238,8 @@
     append_timeout_.OnTimeout();
   } else if (result.kind == AppendResult::Kind::kStored) {
     append_timeout_.OnResponse(BootClockNow() - sent_at);
+  } else if (result.is_too_large && !limits_.OnTooLarge(records)) {
+    result.is_too_large = false;
   }
   return result;
 }
@@ -220,6 +252,7 @@
       batch = TakeBatch();
     }
     ExpireOverdue(batch, BootClockNow());
+    RejectOversized(batch, BootClockNow());
     if (batch.empty()) {
       const std::lock_guard lock(mutex_);
       batch_in_flight_ = false;
@@ -243,6 +276,10 @@
       Complete(batch, Outcome::kStored, sent_at);
       continue;
     }
+    if (result.is_too_large) {
+      ShortenBatch(batch);
+      continue;
+    }
     is_failing_ = true;
     metrics_.Add(result.kind == AppendResult::Kind::kUnknown
                      ? Counter::kAppendsUnknown
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -14,6 +14,7 @@
 #include "src/jobs/ledger_record.h"
 #include "src/observability/metrics.h"
 #include "src/store/adaptive_timeout.h"
+#include "src/store/append_limits.h"
 #include "src/store/log_store.h"
 
 namespace marjoramplank {
@@ -39,6 +40,7 @@
   struct Options {
     LogPartition partition;
     AdaptiveTimeout::Options append_timeout;
+    AppendLimits::Options limits;
     // While only heartbeats wait, an append waits this long for more records to
     // share the call; longer on a log service that is slow, then also for other
     // records. 0: not at all.
@@ -81,6 +83,12 @@
 
   void Loop();
   AppendResult TryAppend(const std::vector<Pending>& batch, Time sent_at);
+  // Completes the records that are too large for the log service: any append
+  // with them would be refused.
+  void RejectOversized(std::vector<Pending>& batch, Time now);
+  static std::vector<std::string> BytesOf(const std::vector<Pending>& batch);
+  // Returns the records that do not fit into one call to the queue.
+  void ShortenBatch(std::vector<Pending>& batch);
   std::vector<Pending> TakeBatch();
   // Whether the queue holds something to send now. Called with the lock.
   bool IsBatchDue(Time now) const;
@@ -103,7 +111,9 @@
   std::deque<Pending> queue_;
   std::deque<RecentRecord> recent_;
   bool batch_in_flight_ = false;
-  AdaptiveTimeout append_timeout_;  // Used by the writer's thread only.
+  // Both are used by the writer's thread only.
+  AdaptiveTimeout append_timeout_;
+  AppendLimits limits_;
   std::function<void(std::int64_t)> on_stored_;
   // Used by the writer's thread only.
   Duration last_append_time_{0};
--- a/tests/unit/append_size_test.cc
+++ b/tests/unit/append_size_test.cc
@@ -168,5 +168,50 @@
   CHECK((log.stored == Encoded(plan)));
 }
 
+// Guards against a record that the log service refuses for its size and that
+// the writer sends for ever, with all others behind it.
+TEST_CASE("a record that is too large does not stop the writer",
+          "[append_size]") {
+  LimitedStore::Log log;
+  Metrics metrics;
+  std::optional<LedgerWriter::Outcome> outcome;
+  LedgerWriter writer({.partition = {.topic = "t"}},
+                      std::make_unique<LimitedStore>(log), metrics);
+  const auto append = [&](std::size_t bytes) {
+    writer.Append(
+        {.record = JobCancelled{.job = std::string(bytes, 'j')},
+         .on_done = [&](LedgerWriter::Outcome o, Time) { outcome = o; }});
+  };
+  const auto append_small = [&] {
+    return writer.AppendAndWait(JobCancelled{.job = "small"},
+                                BootClockNow() + 1s);
+  };
+
+  SECTION("for any log service") {
+    append(300'000);
+    CHECK(append_small() == LedgerWriter::Outcome::kStored);
+    CHECK(outcome == LedgerWriter::Outcome::kNotStored);
+    CHECK(log.refused.empty());
+  }
+  SECTION("for this log service") {
+    log.limits.record_bytes = 100'000;
+    append(200'000);
+    CHECK(append_small() == LedgerWriter::Outcome::kStored);
+    CHECK(outcome == LedgerWriter::Outcome::kNotStored);
+    CHECK(RefusedOnlyOnce(log));
+  }
+  SECTION("nor does a batch that is too large") {
+    log.limits.call_bytes = 50'000;
+    for (int n = 0; n < 20; ++n) {
+      append(20'000);
+    }
+    writer.Drain(5s);
+    CHECK(append_small() == LedgerWriter::Outcome::kStored);
+    CHECK(outcome == LedgerWriter::Outcome::kStored);
+    CHECK(log.stored.size() == 21);
+    CHECK(RefusedOnlyOnce(log));
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
