A record that waits behind a repeated append keeps its deadline

While the log service is down, a writer repeats the batch that it holds. If that batch has no deadline (an entry's start, records that are appended again), the records behind it were not completed at their deadlines: a submission or cancellation waited until the log service was back, past the client's timeout.

Evidence, tests/unit/ledger_writer_test.cc on the code before: ledger_writer_test.cc:119: FAILED: CHECK( is_done ) with expansion: 0

Cause: ExpireOverdue() saw only the batch. Change: after a failed append the overdue records of the queue are completed too, as not stored: none of them was sent, or as unknown if it was sent in an earlier batch.

--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -164,6 +164,20 @@
   batch.erase(first_overdue, batch.end());
 }
 
+void LedgerWriter::ExpireQueued(Time now) {
+  std::vector<Pending> overdue;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto first_overdue = std::stable_partition(
+        queue_.begin(), queue_.end(),
+        [&](const Pending& p) { return p.item.deadline > now; });
+    overdue.assign(std::make_move_iterator(first_overdue),
+                   std::make_move_iterator(queue_.end()));
+    queue_.erase(first_overdue, queue_.end());
+  }
+  ExpireOverdue(overdue, now);
+}
+
 void LedgerWriter::Complete(std::vector<Pending>& batch,
                             Outcome outcome,
                             Time sent_at) {
@@ -294,6 +308,7 @@
         p.maybe_stored = true;
       }
     }
+    ExpireQueued(BootClockNow());
     std::this_thread::sleep_for(Jittered(retry_delay));
     retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
   }
--- a/src/store/ledger_writer.h
+++ b/src/store/ledger_writer.h
@@ -100,6 +100,9 @@
   // the recent response times. A call that ends before the answer can come
   // would only add to the load of a slow log service.
   void ExpireOverdue(std::vector<Pending>& batch, Time now);
+  // Completes the records in the queue whose deadline has passed, while the
+  // batch before them is repeated.
+  void ExpireQueued(Time now);
   void Complete(std::vector<Pending>& batch, Outcome outcome, Time sent_at);
   void KeepRecent(const std::vector<Pending>& batch, Time now);
 
--- a/tests/unit/ledger_writer_test.cc
+++ b/tests/unit/ledger_writer_test.cc
@@ -98,6 +98,27 @@
   }
 }
 
+// Guards against a caller that waits past its deadline because the writer
+// repeats an append without a deadline before its own.
+TEST_CASE("ledger writer: a record that waits in the queue has its deadline",
+          "[ledger_writer]") {
+  Metrics metrics;
+  UnresponsiveStore::AppendLog append_log;
+  std::atomic<bool> is_done{false};
+  LedgerWriter writer({.partition = {.topic = "t"}},
+                      std::make_unique<UnresponsiveStore>(append_log, kAlways),
+                      metrics);
+  writer.Append({.record = JobCancelled{.job = "without a deadline"}});
+  std::this_thread::sleep_for(100ms);
+  writer.Append({.record = JobCancelled{.job = "j"},
+                 .deadline = BootClockNow() + 100ms,
+                 .on_done = [&](LedgerWriter::Outcome outcome, Time) {
+                   is_done = outcome == LedgerWriter::Outcome::kNotStored;
+                 }});
+  std::this_thread::sleep_for(1s);
+  CHECK(is_done);
+}
+
 // Stores each append at once and counts the calls and the records.
 class CountingStore final : public LogStore {
  public:
