A job is accepted only if its records fit into the log

A job may have a gang of up to 20,000 tasks, and the start of a gang is one record: from about 4,000 tasks on workers with long ids it is larger than the 256 KiB of a record, so the accepted job can never start. The names and dependencies of a job had no limit but that of the body (512 KiB): such a job was sent to the log again and again until the client's deadline.

Change: CheckJobRequest() refuses a gang of more than 3,000 tasks, and names and dependencies of more than 128 KiB. The widest gang known is 55 tasks.

Ruled out: a record that counts the members by worker.

--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -25,6 +25,18 @@
   return true;
 }
 
+// Names and dependencies, about as long as they are in a record of the log.
+std::size_t NameBytes(const JobRequest& request) {
+  constexpr std::size_t kBytesPerDependency = 5;
+  std::size_t bytes = request.id.size() + request.account.size() +
+                      request.terms.queue.size() + request.terms.service.size();
+  for (const JobStep& step : request.steps) {
+    bytes += step.required_label.size() + step.data_rack.size() +
+             step.image.size() + step.after.size() * kBytesPerDependency;
+  }
+  return bytes;
+}
+
 void ValidateStep(const JobStep& step,
                   std::int32_t number,
                   std::vector<std::string>& faults) {
@@ -32,6 +44,10 @@
   if (step.tasks < 1) {
     faults.push_back(where + " has fewer than one task");
   }
+  if (step.gang && step.tasks > kMaxTasksOfGang) {
+    faults.push_back(where + " is a gang of more than " +
+                     std::to_string(kMaxTasksOfGang) + " tasks");
+  }
   if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
       step.need.accelerators < 0) {
     faults.push_back(where + " needs a negative amount");
@@ -92,6 +108,10 @@
     faults.push_back("the payload is longer than " +
                      std::to_string(kMaxJobPayloadBytes) + " bytes");
   }
+  if (NameBytes(request) > kMaxJobNameBytes) {
+    faults.push_back("names and dependencies are longer than " +
+                     std::to_string(kMaxJobNameBytes) + " bytes");
+  }
   if (request.steps.empty() ||
       request.steps.size() > static_cast<std::size_t>(kMaxSteps)) {
     faults.push_back("a job has 1 to " + std::to_string(kMaxSteps) + " steps");
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -110,5 +110,9 @@
 inline constexpr std::int32_t kMaxSteps = 64;
 inline constexpr std::int32_t kMaxTasksOfJob = 20'000;  // Of all occurrences.
 inline constexpr std::size_t kMaxJobPayloadBytes = 4'000;
+// The start of a gang is one record of the log, with the worker of each task.
+inline constexpr std::int32_t kMaxTasksOfGang = 3'000;
+// Names and dependencies of a job, which is one record of the log.
+inline constexpr std::size_t kMaxJobNameBytes = 128 * 1024;
 
 }  // namespace marjoramplank
--- a/tests/unit/append_size_test.cc
+++ b/tests/unit/append_size_test.cc
@@ -213,5 +213,56 @@
   }
 }
 
+// Guards against an accepted job of which a record can never be stored.
+TEST_CASE("a valid job fits into its records", "[append_size]") {
+  constexpr std::size_t kMaxRecordBytes =
+      AppendLimits::Options{}.max_record_bytes;
+  JobRequest job{.id = "bc0e7a21d94b36e0",
+                 .account = "kaje80",
+                 .payload = std::string(kMaxJobPayloadBytes, 'p'),
+                 .terms = {.queue = "q", .service = "s"}};
+
+  SECTION("or it is refused: names") {
+    for (std::size_t n = 0; n < 400'000; n += 40'000) {
+      job.steps = {{.image = std::string(n, 'x')}};
+      const bool fits =
+          EncodeRecord(JobSubmitted{.request = job}).size() <= kMaxRecordBytes;
+      CHECK((fits || !CheckJobRequest(job).empty()));
+    }
+    job.steps.assign(kMaxSteps, {.required_label = std::string(40, 'x'),
+                                 .data_rack = std::string(40, 'x'),
+                                 .image = std::string(40, 'x')});
+    CHECK(CheckJobRequest(job).empty());
+    CHECK(EncodeRecord(JobSubmitted{.request = job}).size() <= kMaxRecordBytes);
+  }
+  SECTION("or it is refused: dependencies") {
+    for (std::size_t n = 0; n < 400'000; n += 40'000) {
+      job.steps.assign(kMaxSteps, {});
+      for (std::size_t i = 0; i < n; ++i) {
+        job.steps.back().after.push_back(
+            static_cast<std::int32_t>(i % (kMaxSteps - 1)));
+      }
+      const bool fits =
+          EncodeRecord(JobSubmitted{.request = job}).size() <= kMaxRecordBytes;
+      CHECK((fits || !CheckJobRequest(job).empty()));
+    }
+    job.steps.back().after.resize(kMaxSteps - 1);
+    CHECK(CheckJobRequest(job).empty());
+  }
+  SECTION("or it is refused: gangs") {
+    constexpr std::size_t kLongestIdBytes = 40;  // Of a worker.
+    for (std::int32_t n = 1'000; n <= kMaxTasksOfJob; n += 1'000) {
+      job.steps = {{.tasks = n, .gang = true}};
+      RunStarted start = Start(0, n);
+      for (MemberPlace& m : start.members) {
+        m.incarnation.id = std::string(kLongestIdBytes, 'i');
+      }
+      const bool fits = EncodeRecord(start).size() <= kMaxRecordBytes;
+      CHECK((fits || !CheckJobRequest(job).empty()));
+      CHECK((n > 2'000 || CheckJobRequest(job).empty()));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
