A guarantee displaces long-running tasks that may be stopped

What callers saw: long-running tasks of one account used all idle accelerators.

Cause: PreemptionSearch::ListVictims left out every long-running task, and nothing kept them off guaranteed accelerators.

A step with a limit is left alone here, also with room in the limit: the planner does not know which of its tasks are at work.

Change: MayPreempt() by rank of the unit. JobStep::max_unavailable is optional, since 0 (none may be stopped) and no limit differ; the log writes no limit as -1 into the field that it has. A 0 of an earlier version, which meant either, is read as 0: such a job is not displaced, as before.

--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -21,18 +21,34 @@
   double cost = 0;
 };
 
+PreemptionSearch::Rank PreemptionSearch::RankOf(const WaitingUnit& unit) {
+  return {.priority = unit.job->request.terms.priority,
+          .is_guaranteed = unit.is_guaranteed};
+}
+
+bool PreemptionSearch::MayPreempt(const Rank& rank,
+                                  const LedgerJob& job,
+                                  const JobStep& step) {
+  if (job.request.terms.priority <= rank.priority) {
+    return false;
+  }
+  // A long-running task does not end by itself: without a preemption, it would
+  // keep the accelerators of a guarantee for good.
+  return !step.long_running || (rank.is_guaranteed && !step.max_unavailable);
+}
+
 PreemptionSearch::VictimList PreemptionSearch::ListVictims(
     const LedgerWorker& entry,
-    std::int32_t priority) const {
+    const Rank& rank) const {
   VictimList out;
   for (const auto& [task, run] : entry.runs) {
     double cost = 0;  // Of a run that is stopping already.
     if (!run.must_stop) {
       const LedgerJob* job = ledger_.FindJob(task.job);
       if (job == nullptr || job->ended() ||
-          job->request.terms.priority <= priority ||
-          job->request.steps[static_cast<std::size_t>(task.step)]
-              .long_running) {
+          !MayPreempt(
+              rank, *job,
+              job->request.steps[static_cast<std::size_t>(task.step)])) {
         continue;
       }
       cost = LostWork(now_, ledger_, task, run);
@@ -49,10 +65,10 @@
 
 const PreemptionSearch::VictimList& PreemptionSearch::VictimsOn(
     const WorkerCapacity& worker,
-    std::int32_t priority) {
-  const auto [it, is_new] = victims_.try_emplace({&worker, priority});
+    const Rank& rank) {
+  const auto [it, is_new] = victims_.try_emplace({&worker, rank});
   if (is_new) {
-    it->second = ListVictims(*worker.entry, priority);
+    it->second = ListVictims(*worker.entry, rank);
   }
   return it->second;
 }
@@ -82,7 +98,7 @@
     std::int32_t wanted_members) {
   Option out;
   out.worker = &worker;
-  const VictimList& list = VictimsOn(worker, unit.job->request.terms.priority);
+  const VictimList& list = VictimsOn(worker, RankOf(unit));
   if (MembersThatFit(unit, worker, worker.free + list.total) == 0) {
     return out;
   }
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <map>
 #include <optional>
 #include <utility>
@@ -37,10 +38,20 @@
   struct Option;
   using WorkerList = std::vector<const WorkerCapacity*>;
 
-  const VictimList& VictimsOn(const WorkerCapacity& worker,
-                              std::int32_t priority);
-  VictimList ListVictims(const LedgerWorker& entry,
-                         std::int32_t priority) const;
+  // The units that may preempt the same tasks.
+  struct Rank {
+    std::int32_t priority = 0;
+    bool is_guaranteed = false;
+    friend auto operator<=>(const Rank&, const Rank&) = default;
+  };
+  static Rank RankOf(const WaitingUnit& unit);
+
+  const VictimList& VictimsOn(const WorkerCapacity& worker, const Rank& rank);
+  VictimList ListVictims(const LedgerWorker& entry, const Rank& rank) const;
+  // True if a unit of this rank may preempt tasks of the step.
+  static bool MayPreempt(const Rank& rank,
+                         const LedgerJob& job,
+                         const JobStep& step);
   Option FindOnWorker(const WorkerCapacity& worker,
                       const WaitingUnit& unit,
                       std::int32_t wanted_members);
@@ -55,8 +66,8 @@
   const Time now_;
   const Ledger& ledger_;
   const CapacityTable& table_;
-  // By worker and priority of the preempting unit.
-  std::map<std::pair<const WorkerCapacity*, std::int32_t>, VictimList> victims_;
+  // By worker and rank of the preempting unit.
+  std::map<std::pair<const WorkerCapacity*, Rank>, VictimList> victims_;
 };
 
 // Work lost if the run is stopped now, core-seconds.
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,8 +44,9 @@
   // Rack of the step's data; tasks run slower elsewhere. Empty: none.
   std::string data_rack;
   std::int32_t max_per_worker = 0;  // Tasks on one worker. 0: unlimited.
-  // Long-running tasks that may be stopped at the same time. 0: none.
-  std::int32_t max_unavailable = 0;
+  // Long-running tasks that may be away at the same time because they were
+  // stopped. Empty: any number.
+  std::optional<std::int32_t> max_unavailable;
   std::string image;           // Image that the tasks run. Empty: unknown.
   Duration latency_target{0};  // Latency goal of a serving task. 0: none.
 
--- a/src/jobs/ledger_wire.cc
+++ b/src/jobs/ledger_wire.cc
@@ -7,6 +7,12 @@
 
 namespace {
 
+constexpr std::int32_t kNotLimited = -1;
+
+std::optional<std::int32_t> ReadLimit(std::int32_t in) {
+  return in < 0 ? std::nullopt : std::optional(in);
+}
+
 void ToWire(const JobStep& in, Step::Builder out) {
   out.setTasks(in.tasks);
   ToWire(in.need, out.initNeed());
@@ -24,7 +30,7 @@
   out.setRequiredLabel(in.required_label);
   out.setDataRack(in.data_rack);
   out.setMaxPerWorker(in.max_per_worker);
-  out.setMaxUnavailable(in.max_unavailable);
+  out.setMaxUnavailable(in.max_unavailable.value_or(kNotLimited));
   out.setImage(in.image);
   out.setLatencyTargetMs(in.latency_target.count());
 }
@@ -42,7 +48,7 @@
               .required_label = ledger_wire::FromWire(in.getRequiredLabel()),
               .data_rack = ledger_wire::FromWire(in.getDataRack()),
               .max_per_worker = in.getMaxPerWorker(),
-              .max_unavailable = in.getMaxUnavailable(),
+              .max_unavailable = ReadLimit(in.getMaxUnavailable()),
               .image = ledger_wire::FromWire(in.getImage()),
               .latency_target = Duration(in.getLatencyTargetMs())};
   for (const std::int32_t n : in.getAfter()) {
--- a/tests/unit/preemption_test.cc
+++ b/tests/unit/preemption_test.cc
@@ -93,6 +93,43 @@
                   .request = Job("urgent", 0, {.need = {.accelerators = 8}})});
     CHECK(PreemptedJobs(ledger) == std::vector<std::string>{"saves"});
   }
+
+  // Guards against a guarantee that is lent to long-running tasks for good.
+  SECTION("long-running tasks") {
+    Ledger ledger = Cluster(1);
+    AddRunningJob(
+        ledger,
+        Job("serves", 1, {.need = {.accelerators = 8}, .long_running = true}),
+        0, 10s);
+    SECTION("are preempted for a job within its guarantee") {
+      ledger.Apply(kNow,
+                   JobSubmitted{.request = Job("urgent", 0,
+                                               {.need = {.accelerators = 8}})});
+      CHECK(PreemptedJobs(ledger) == std::vector<std::string>{"serves"});
+    }
+    SECTION("unless their step limits how many may be away") {
+      for (const std::int32_t limit : {0, 2}) {
+        Ledger limited = Cluster(1);
+        AddRunningJob(limited,
+                      Job("serves", 1,
+                          {.need = {.accelerators = 8},
+                           .long_running = true,
+                           .max_unavailable = limit}),
+                      0, 10s);
+        limited.Apply(
+            kNow, JobSubmitted{.request = Job("urgent", 0,
+                                              {.need = {.accelerators = 8}})});
+        CHECK(PreemptedJobs(limited).empty());
+      }
+    }
+    SECTION("but not for one beyond it") {
+      ledger.Apply(
+          kNow, JobSubmitted{
+                    .request = Job("urgent", 0,
+                                   {.tasks = 2, .need = {.accelerators = 8}})});
+      CHECK(PreemptedJobs(ledger).empty());
+    }
+  }
 }
 
 }  // namespace
