Ledger: a record with numbers out of range is skipped

Seen: one job in the ledger whose number of tasks is negative, or whose tasks do not fit in memory, ends every entry and agent that replays it, and again after each restart. A client can cause it: CheckJobRequest() multiplied the tasks of all steps by the occurrences, and the product wraps. A report with the largest capacity, an election with the largest epoch or an end with the number 1e18 stays in effect for good: all later ones are ignored.

Cause: DecodeRecord() accepted any number that Cap'n Proto can carry, and Ledger::ApplyRecord() allocates and computes with it.

CheckJobRequest() divides instead of multiplying and checks resources, times and the terms of the queue, so that no accepted job is unreadable. The limits are far from what the system itself writes.

Held already: bytes that are no message, empty records, unknown types; and kj, std and allocation errors inside DecodeRecord() itself, which kj::runCatchingExceptions() turns into a result.

--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -25,6 +25,16 @@
   return true;
 }
 
+bool IsAmount(std::int64_t n) {
+  return n >= 0 && n <= kMaxResourceAmount;
+}
+
+bool IsWithinLimits(const Recurrence& r) {
+  return r.occurrence_count >= 0 && r.occurrence_count <= kMaxTasksOfJob &&
+         r.first_due_unix_ms >= 0 && r.first_due_unix_ms <= kMaxUnixMs &&
+         r.interval_ms >= 0 && r.interval_ms <= kMaxIntervalMs;
+}
+
 void ValidateStep(const JobStep& step,
                   std::int32_t number,
                   std::vector<std::string>& faults) {
@@ -32,9 +42,11 @@
   if (step.tasks < 1) {
     faults.push_back(where + " has fewer than one task");
   }
-  if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
-      step.need.accelerators < 0) {
-    faults.push_back(where + " needs a negative amount");
+  if (!IsWithinLimits(step.need)) {
+    faults.push_back(where + " needs an amount that is out of range");
+  }
+  if (step.estimate > kMaxDuration || step.latency_target > kMaxDuration) {
+    faults.push_back(where + " has a time that is out of range");
   }
   const bool has_invalid_dependency =
       std::any_of(step.after.begin(), step.after.end(),
@@ -65,6 +77,16 @@
          accelerators <= available.accelerators;
 }
 
+bool IsWithinLimits(const Resources& amounts) {
+  return IsAmount(amounts.cpu_milli) && IsAmount(amounts.memory_mb) &&
+         IsAmount(amounts.accelerators);
+}
+
+bool IsWithinLimits(const QueueTerms& terms) {
+  return terms.target >= Duration(0) && terms.target <= kMaxDuration &&
+         terms.stretch >= 0 && terms.stretch <= kMaxStretch;
+}
+
 std::string ToString(const TaskRef& task) {
   return task.job + "." + std::to_string(task.occurrence) + "." +
          std::to_string(task.step) + "." + std::to_string(task.index);
@@ -96,17 +118,20 @@
       request.steps.size() > static_cast<std::size_t>(kMaxSteps)) {
     faults.push_back("a job has 1 to " + std::to_string(kMaxSteps) + " steps");
   }
-  if (request.recurrence.occurrence_count < 0 ||
-      request.recurrence.interval_ms < 0) {
-    faults.emplace_back("the recurrence has a negative number");
+  if (!IsWithinLimits(request.recurrence)) {
+    faults.emplace_back("the recurrence has a number that is out of range");
+  }
+  if (!IsWithinLimits(request.terms)) {
+    faults.emplace_back("the queue has a number that is out of range");
   }
   std::int64_t tasks = 0;
   for (std::size_t i = 0; i < request.steps.size(); ++i) {
     ValidateStep(request.steps[i], static_cast<std::int32_t>(i), faults);
     tasks += request.steps[i].tasks;
   }
-  tasks *= std::max(1, request.recurrence.occurrence_count);
-  if (tasks > kMaxTasksOfJob) {
+  // Divides, as the product may overflow.
+  if (tasks >
+      kMaxTasksOfJob / std::max(1, request.recurrence.occurrence_count)) {
     faults.push_back("the job has more than " + std::to_string(kMaxTasksOfJob) +
                      " tasks");
   }
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -110,5 +110,16 @@
 inline constexpr std::int32_t kMaxSteps = 64;
 inline constexpr std::int32_t kMaxTasksOfJob = 20'000;  // Of all occurrences.
 inline constexpr std::size_t kMaxJobPayloadBytes = 4'000;
+inline constexpr std::int64_t kMaxResourceAmount = 1'000'000'000'000;
+// Of an estimate, a goal or a delay: sums over all steps do not overflow.
+inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 365);
+inline constexpr std::int64_t kMaxIntervalMs = 1'000'000'000'000;
+inline constexpr std::int64_t kMaxUnixMs = 4'102'444'800'000;  // Year 2100.
+inline constexpr double kMaxStretch = 10'000;
+
+// True if every amount is at least 0 and at most kMaxResourceAmount.
+bool IsWithinLimits(const Resources& amounts);
+// True if a deadline that is computed from the terms cannot overflow.
+bool IsWithinLimits(const QueueTerms& terms);
 
 }  // namespace marjoramplank
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -6,6 +6,7 @@
 #include <kj/io.h>
 
 #include "src/jobs/ledger_wire.h"
+#include "src/jobs/record_limits.h"
 
 namespace marjoramplank {
 
@@ -207,7 +208,8 @@
     capnp::PackedMessageReader message(in);
     out = ReadRecord(message.getRoot<WireRecord>());
   });
-  return exception == nullptr ? out : std::nullopt;
+  return exception == nullptr && out && IsWithinLimits(*out) ? out
+                                                             : std::nullopt;
 }
 
 }  // namespace marjoramplank
