--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -226,6 +226,9 @@
       it->second.outcome_queued = true;
     }
   }
+  if (reply.unreadable_rows > 0) {
+    return;
+  }
   if (call.resolves_in_doubt && call.fence == fence_) {
     ResolveInDoubtRuns(now, reply);
     needs_resolution_ = false;
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -113,6 +113,9 @@
   std::optional<std::int64_t> clock_ms;  // Worker's clock.
   std::vector<RunningTask> running;
   std::vector<TaskEnded> ended;  // The caller fills in `incarnation`.
+  // Rows of both lists that could not be read. A task that is not listed may
+  // be in one of them.
+  std::int32_t unreadable_rows = 0;
 };
 
 // Contents of a worker's heartbeat.
