--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -48,7 +48,13 @@
   if (step.estimate > kMaxDuration || step.latency_target > kMaxDuration) {
     faults.push_back(where + " has a time that is out of range");
   }
+  if (step.required_label.size() > kMaxJobNameBytes ||
+      step.data_rack.size() > kMaxJobNameBytes ||
+      step.image.size() > kMaxJobNameBytes) {
+    faults.push_back(where + " has a name that is too long");
+  }
   const bool has_invalid_dependency =
+      step.after.size() > static_cast<std::size_t>(kMaxSteps) ||
       std::any_of(step.after.begin(), step.after.end(),
                   [&](std::int32_t n) { return n < 0 || n >= number; });
   if (has_invalid_dependency) {
@@ -110,6 +116,9 @@
   if (request.id.empty()) {
     faults.emplace_back("the job has no id");
   }
+  if (request.id.size() > kMaxJobNameBytes) {
+    faults.emplace_back("the id is too long");
+  }
   if (request.payload.size() > kMaxJobPayloadBytes) {
     faults.push_back("the payload is longer than " +
                      std::to_string(kMaxJobPayloadBytes) + " bytes");
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -110,6 +110,8 @@
 inline constexpr std::int32_t kMaxSteps = 64;
 inline constexpr std::int32_t kMaxTasksOfJob = 20'000;  // Of all occurrences.
 inline constexpr std::size_t kMaxJobPayloadBytes = 4'000;
+// Of an id, a label, a rack or an image: with them a job fits in a record.
+inline constexpr std::size_t kMaxJobNameBytes = 256;
 inline constexpr std::int64_t kMaxResourceAmount = 1'000'000'000'000;
 // Of an estimate, a goal or a delay: sums over all steps do not overflow.
 inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 365);
