--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -5,9 +5,11 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
 #include <limits>
 
 #include "src/jobs/ledger_wire.h"
+#include "src/jobs/record_limits.h"
 
 namespace marjoramplank {
 
@@ -98,6 +100,28 @@
   return out;
 }
 
+// True if the job can be scheduled: its units are those of its steps.
+bool IsSound(const LedgerJob& job) {
+  if (job.phase < JobPhase::kQueued || job.phase > JobPhase::kCancelled) {
+    return false;
+  }
+  if (job.ended()) {
+    return job.occurrences.empty();
+  }
+  const std::vector<JobStep>& steps = job.request.steps;
+  const auto has_units_of_steps = [&](const std::vector<StepState>& states) {
+    return std::equal(
+        states.begin(), states.end(), steps.begin(), steps.end(),
+        [](const StepState& state, const JobStep& step) {
+          return state.units.size() ==
+                 static_cast<std::size_t>(step.gang ? 1 : step.tasks);
+        });
+  };
+  return CheckJobRequest(job.request).empty() && !job.occurrences.empty() &&
+         std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                     has_units_of_steps);
+}
+
 void WriteRun(const TaskRef& task,
               const LiveRun& in,
               ledger_wire::LiveRun::Builder out) {
@@ -130,6 +154,10 @@
 LedgerWorker ReadWorker(Time now, ledger_wire::WorkerState::Reader in) {
   LedgerWorker out;
   out.report = FromWire(in.getReport());
+  if (!IsWithinLimits(out.report)) {
+    out.report.accepting = false;
+    out.report.capacity = {};
+  }
   out.incarnation_ended = in.getGone();
   out.last_end_number = in.getLastEnd();
   out.consecutive_failures = in.getFailedInRow();
@@ -216,6 +244,9 @@
     Ledger& ledger = out.ledger;
     for (const auto job : in.getJobs()) {
       LedgerJob entry = ReadJob(now, job);
+      if (!IsSound(entry)) {
+        continue;
+      }
       const std::string id = entry.request.id;
       if (!entry.ended()) {
         ledger.open_jobs_.insert(id);
@@ -248,7 +279,8 @@
     ledger.planner_last_seen_at_ = now;
     ledger.accepted_count_ = in.getAccepted();
   });
-  if (exception != nullptr) {
+  if (exception != nullptr || out.position < 0 || out.position > kMaxCounter ||
+      !IsWithinLimits(PlannerElected{.epoch = out.ledger.planner_epoch_})) {
     return std::nullopt;
   }
   return out;
--- a/src/jobs/ledger_snapshot.h
+++ b/src/jobs/ledger_snapshot.h
@@ -18,8 +18,9 @@
   };
 
   static std::string Save(const Ledger& ledger, std::int64_t position);
-  // Empty if the bytes are malformed. Times that are not replicated are set to
-  // `now`.
+  // Empty if the bytes are malformed or the position is out of range. A job
+  // that is inconsistent is left out, and a worker with numbers out of range
+  // gets no tasks. Times that are not replicated are set to `now`.
   static std::optional<Restored> Load(Time now, const std::string& bytes);
 };
 
