--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -37,6 +37,16 @@
   return bytes;
 }
 
+bool IsAmount(std::int64_t n) {
+  return n >= 0 && n <= kMaxResourceAmount;
+}
+
+bool IsWithinLimits(const Recurrence& r) {
+  return r.occurrence_count >= 0 && r.occurrence_count <= kMaxTasksOfJob &&
+         r.first_due_unix_ms >= 0 && r.first_due_unix_ms <= kMaxUnixMs &&
+         r.interval_ms >= 0 && r.interval_ms <= kMaxIntervalMs;
+}
+
 void ValidateStep(const JobStep& step,
                   std::int32_t number,
                   std::vector<std::string>& faults) {
@@ -48,11 +58,19 @@
     faults.push_back(where + " is a gang of more than " +
                      std::to_string(kMaxTasksOfGang) + " tasks");
   }
-  if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
-      step.need.accelerators < 0) {
-    faults.push_back(where + " needs a negative amount");
+  if (!IsWithinLimits(step.need)) {
+    faults.push_back(where + " needs an amount that is out of range");
+  }
+  if (step.estimate > kMaxDuration || step.latency_target > kMaxDuration) {
+    faults.push_back(where + " has a time that is out of range");
+  }
+  if (step.required_label.size() > kMaxJobNameBytes ||
+      step.data_rack.size() > kMaxJobNameBytes ||
+      step.image.size() > kMaxJobNameBytes) {
+    faults.push_back(where + " has a name that is too long");
   }
   const bool has_invalid_dependency =
+      step.after.size() > static_cast<std::size_t>(kMaxSteps) ||
       std::any_of(step.after.begin(), step.after.end(),
                   [&](std::int32_t n) { return n < 0 || n >= number; });
   if (has_invalid_dependency) {
@@ -81,6 +99,16 @@
          accelerators <= available.accelerators;
 }
 
+bool IsWithinLimits(const Resources& amounts) {
+  return IsAmount(amounts.cpu_milli) && IsAmount(amounts.memory_mb) &&
+         IsAmount(amounts.accelerators);
+}
+
+bool IsWithinLimits(const QueueTerms& terms) {
+  return terms.target >= Duration(0) && terms.target <= kMaxDuration &&
+         terms.stretch >= 0 && terms.stretch <= kMaxStretch;
+}
+
 std::string ToString(const TaskRef& task) {
   return task.job + "." + std::to_string(task.occurrence) + "." +
          std::to_string(task.step) + "." + std::to_string(task.index);
@@ -104,29 +132,35 @@
   if (request.id.empty()) {
     faults.emplace_back("the job has no id");
   }
+  if (request.id.size() > kMaxJobNameBytes) {
+    faults.emplace_back("the id is too long");
+  }
   if (request.payload.size() > kMaxJobPayloadBytes) {
     faults.push_back("the payload is longer than " +
                      std::to_string(kMaxJobPayloadBytes) + " bytes");
   }
-  if (NameBytes(request) > kMaxJobNameBytes) {
+  if (NameBytes(request) > kMaxNameBytesOfJob) {
     faults.push_back("names and dependencies are longer than " +
-                     std::to_string(kMaxJobNameBytes) + " bytes");
+                     std::to_string(kMaxNameBytesOfJob) + " bytes");
   }
   if (request.steps.empty() ||
       request.steps.size() > static_cast<std::size_t>(kMaxSteps)) {
     faults.push_back("a job has 1 to " + std::to_string(kMaxSteps) + " steps");
   }
-  if (request.recurrence.occurrence_count < 0 ||
-      request.recurrence.interval_ms < 0) {
-    faults.emplace_back("the recurrence has a negative number");
+  if (!IsWithinLimits(request.recurrence)) {
+    faults.emplace_back("the recurrence has a number that is out of range");
+  }
+  if (!IsWithinLimits(request.terms)) {
+    faults.emplace_back("the queue has a number that is out of range");
   }
   std::int64_t tasks = 0;
   for (std::size_t i = 0; i < request.steps.size(); ++i) {
     ValidateStep(request.steps[i], static_cast<std::int32_t>(i), faults);
     tasks += request.steps[i].tasks;
   }
-  tasks *= std::max(1, request.recurrence.occurrence_count);
-  if (tasks > kMaxTasksOfJob) {
+  // Divides, as the product may overflow.
+  if (tasks >
+      kMaxTasksOfJob / std::max(1, request.recurrence.occurrence_count)) {
     faults.push_back("the job has more than " + std::to_string(kMaxTasksOfJob) +
                      " tasks");
   }
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -115,6 +115,19 @@
 // The start of a gang is one record of the log, with the worker of each task.
 inline constexpr std::int32_t kMaxTasksOfGang = 3'000;
 // Names and dependencies of a job, which is one record of the log.
-inline constexpr std::size_t kMaxJobNameBytes = 128 * 1024;
+inline constexpr std::size_t kMaxNameBytesOfJob = 128 * 1024;
+// Of an id, a label, a rack or an image: with them a job fits in a record.
+inline constexpr std::size_t kMaxJobNameBytes = 256;
+inline constexpr std::int64_t kMaxResourceAmount = 1'000'000'000'000;
+// Of an estimate, a goal or a delay: sums over all steps do not overflow.
+inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 365);
+inline constexpr std::int64_t kMaxIntervalMs = 1'000'000'000'000;
+inline constexpr std::int64_t kMaxUnixMs = 4'102'444'800'000;  // Year 2100.
+inline constexpr double kMaxStretch = 10'000;
+
+// True if every amount is at least 0 and at most kMaxResourceAmount.
+bool IsWithinLimits(const Resources& amounts);
+// True if a deadline that is computed from the terms cannot overflow.
+bool IsWithinLimits(const QueueTerms& terms);
 
 }  // namespace marjoramplank
