Supervisor: a run that one listing does not show stays in doubt

Cause: a worker lists its ends a page at a time, and the supervisor took one listing for the whole list. A run that was neither at work nor among the ends of that listing was recorded as "the start was not carried out", or as "stopped before it came" after an accepted stop, though its end was on a later page.

Change: a run is judged as not carried out only once every end from before the listing that did not show it has been seen. That is known, whatever the size of a page, from one of two things: a listing shows no end beyond the acknowledged ones; or an end is listed of a run that was at work at that listing or a later one, as ends are listed in order. The second keeps a resolution short while ends keep coming that the ledger does not have yet. Starts in doubt, members of gangs and accepted stops use the same rule. The fencing token is raised once a resolution, by its first listing; the later ones wait for the ledger to record what was listed. An end that was listed before its run was read from the ledger counts as the end of that run.

Why it works: after the first listing under the raised token no start in doubt can take effect, so such a run was at work at that listing, or had ended before it, or never begins. Ends from before it are finite and come first.

Ruled out: the limit of a page as a figure in the code (it is the platform's); running tasks are not listed in pages. Ends that reach the ledger out of order: the writer appends its batches one after the other.

Tests: the simulated worker lists one end at a time.

The same cause elsewhere: no other caller reads a list of ends; the agent of the first program lists tasks by another interface without pages.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -99,6 +99,9 @@
   has_departed_ = false;
   was_ledger_current_ = false;
   needs_resolution_ = true;
+  resolution_listing_ = 0;
+  listing_count_ = 0;
+  ends_seen_before_listing_ = 0;
   worker_clock_ms_ = 0;
   worker_clock_at_ = now;
   report_sent_at_ = Time{0};
@@ -251,12 +254,24 @@
       run.phase = needs_resolution_ && live.agent_process != options_.process
                       ? Phase::kInDoubt
                       : Phase::kPending;
+      // The listings so far were judged without it.
+      resolution_listing_ =
+          run.phase == Phase::kInDoubt ? 0 : resolution_listing_;
+      run.outcome_queued = HasUnrecordedEnd(task, live.run);
     }
     run.stop_requested = live.must_stop;
   }
   ledger_current_at_ = now;
 }
 
+bool Supervisor::HasUnrecordedEnd(const TaskRef& task, std::int32_t run) const {
+  return std::any_of(unrecorded_ends_.begin(), unrecorded_ends_.end(),
+                     [&](const auto& numbered) {
+                       const TaskEnded& end = numbered.second;
+                       return end.task == task && end.run == run;
+                     });
+}
+
 bool Supervisor::HasRoomFor(const LocalRun& run) const {
   Resources free = worker_->capacity;
   for (const auto& [task, other] : runs_) {
@@ -351,14 +366,15 @@
     has_started_runs = has_started_runs || run.phase != Phase::kPending;
     has_stopping_runs = has_stopping_runs || run.stop_accepted;
   }
-  if (has_unrecorded_ends && !needs_resolution_ && !has_unacked_ends &&
+  const bool must_raise_fence = needs_resolution_ && resolution_listing_ == 0;
+  if (has_unrecorded_ends && !must_raise_fence && !has_unacked_ends &&
       since_last_hold < kUnrecordedEndsHoldInterval) {
     return std::nullopt;
   }
   HoldCall call{.incarnation = worker_->incarnation,
                 .acked_end = last_recorded_end_};
-  if (needs_resolution_) {
-    call.resolves_in_doubt = true;
+  call.resolves_in_doubt = needs_resolution_;
+  if (must_raise_fence) {
     ++fence_;
   }
   call.fence = fence_;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -21,6 +21,8 @@
 // A start without a reply is in doubt: the worker may carry it out seconds
 // later. It is resolved by raising the fencing token and then listing the
 // tasks: a start that is not listed under the new token can never take effect.
+// A listing may be cut off before the last end, so a run that it does not show
+// stays in doubt until every end from before that listing has been seen.
 class Supervisor {
  public:
   struct Options {
@@ -95,6 +97,10 @@
     bool stop_accepted = false;   // The worker has accepted the stop.
     // Its end or refusal has been returned for the log, or is about to be.
     bool outcome_queued = false;
+    // Number of the last listing that showed it at work. 0: none.
+    std::int64_t last_listed_in = 0;
+    // Number of the first listing after an accepted stop. 0: none yet.
+    std::int64_t listed_after_stop = 0;
     bool is_gang = false;
     Resources need;
     bool is_long_running = false;  // Runs until cancelled, so it cannot stall.
@@ -123,6 +129,7 @@
   void EndIncarnation(Ending ending, const std::string& reason);
   // Ends the incarnation if no process listens at its address any more.
   void CheckProcessEnded(Time now);
+  bool HasUnrecordedEnd(const TaskRef& task, std::int32_t run) const;
   // True if the worker's present capacity has room for the run beside all that
   // it may be running, including what is being stopped.
   bool HasRoomFor(const LocalRun& run) const;
@@ -133,7 +140,13 @@
                      const std::string& reason);
   void CountReply(Time now, CommandReply::Kind kind);
   void UpdateRun(Time now, const RunningTask& listed, LocalRun& run);
-  void ResolveInDoubtRuns(Time now, const HoldReply& reply);
+  void UpdateRunningRuns(Time now, const HoldReply& reply);
+  void QueueListedEnds(const HoldCall& call, const HoldReply& reply);
+  // True if the run was not at work at the listing, and no end from before the
+  // listing is unseen.
+  bool WasNotCarriedOut(const LocalRun& run, std::int64_t listing) const;
+  void ResolveInDoubtRuns(Time now);
+  void ResolveStoppedRuns();
   // Expiry of a lease that is renewed now, ms on the worker's clock.
   std::int64_t LeaseExpiryMs(Time now) const;
   void UpdateWorkerClock(Time now, std::optional<std::int64_t> clock_ms);
@@ -151,6 +164,12 @@
   bool has_departed_ = false;
   // A listing must resolve starts in doubt.
   bool needs_resolution_ = false;
+  // Number of the first listing of this resolution. 0: the fencing token must
+  // be raised for it.
+  std::int64_t resolution_listing_ = 0;
+  std::int64_t listing_count_ = 0;  // Listings that were answered.
+  // Every end from before this listing has been seen.
+  std::int64_t ends_seen_before_listing_ = 0;
   // At the last OnLedger().
   bool is_ledger_current_ = false;
   // At some time since this incarnation of the worker was first seen.
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -1,6 +1,6 @@
 // Handles the worker's replies to starts, stops and listings.
 
-#include <set>
+#include <algorithm>
 
 #include "src/supervisor/supervisor.h"
 
@@ -139,26 +139,86 @@
   }
 }
 
-void Supervisor::ResolveInDoubtRuns(Time now, const HoldReply& reply) {
-  std::set<TaskRef> listed;
+void Supervisor::UpdateRunningRuns(Time now, const HoldReply& reply) {
   for (const RunningTask& t : reply.running) {
-    listed.insert(t.task);
+    const auto it = runs_.find(t.task);
+    if (it != runs_.end() && it->second.run == t.run) {
+      UpdateRun(now, t, it->second);
+      it->second.last_listed_in = listing_count_;
+      it->second.stop_accepted =
+          it->second.stop_accepted &&
+          now - it->second.last_stop_at < kAcceptedStopRetryInterval;
+    }
   }
+}
+
+void Supervisor::QueueListedEnds(const HoldCall& call, const HoldReply& reply) {
+  bool lists_unacked_end = false;
   for (const TaskEnded& e : reply.ended) {
-    listed.insert(e.task);
+    lists_unacked_end = lists_unacked_end || e.end_number > call.acked_end;
+    if (e.end_number <= last_queued_end_) {
+      continue;
+    }
+    TaskEnded end = e;
+    end.incarnation = worker_->incarnation;
+    unrecorded_ends_[end.end_number] = end;
+    last_queued_end_ = end.end_number;
+    pending_records_.emplace_back(end);
+    const auto it = runs_.find(end.task);
+    if (it != runs_.end() && it->second.run == end.run) {
+      it->second.outcome_queued = true;
+      // Ends are listed in order, lowest number first, so every end from before
+      // a listing that showed this run at work has been seen.
+      ends_seen_before_listing_ =
+          std::max(ends_seen_before_listing_, it->second.last_listed_in);
+    }
+  }
+  if (!lists_unacked_end) {
+    ends_seen_before_listing_ = listing_count_;
+  }
+}
+
+bool Supervisor::WasNotCarriedOut(const LocalRun& run,
+                                  std::int64_t listing) const {
+  return listing != 0 && !run.outcome_queued && run.last_listed_in < listing &&
+         ends_seen_before_listing_ >= listing;
+}
+
+void Supervisor::ResolveInDoubtRuns(Time now) {
+  if (ends_seen_before_listing_ < resolution_listing_) {
+    return;
   }
   for (auto& [task, run] : runs_) {
-    if (run.phase != Phase::kInDoubt || run.outcome_queued ||
-        listed.contains(task)) {
+    if (run.phase != Phase::kInDoubt) {
       continue;
     }
-    if (run.start_sent && !run.stop_requested &&
-        now - run.ordered_at < options_.start_window) {
+    if (!WasNotCarriedOut(run, resolution_listing_)) {
+      run.phase = Phase::kOnWorker;  // Its end has been listed, or will be.
+    } else if (run.start_sent && !run.stop_requested &&
+               now - run.ordered_at < options_.start_window) {
       run.phase = Phase::kPending;
     } else {
       RecordRefusal(task, run, "the start was not carried out");
     }
   }
+  needs_resolution_ = false;
+  resolution_listing_ = 0;
+}
+
+// An accepted stop rejects the start if it still reaches the worker.
+void Supervisor::ResolveStoppedRuns() {
+  for (auto& [task, run] : runs_) {
+    if (!run.stop_accepted || run.last_stop_at >= last_hold_at_) {
+      run.listed_after_stop = 0;
+      continue;
+    }
+    if (run.listed_after_stop == 0 || run.last_listed_in == listing_count_) {
+      run.listed_after_stop = listing_count_;
+    }
+    if (WasNotCarriedOut(run, run.listed_after_stop)) {
+      RecordRefusal(task, run, "stopped before it came");
+    }
+  }
 }
 
 void Supervisor::OnHoldReply(Time now,
@@ -194,6 +254,7 @@
     } else if (reply.kind == HoldReply::Kind::kStale) {
       contact_.OnAnswer(now);
       needs_resolution_ = true;
+      resolution_listing_ = 0;
     } else {
       // A refused listing has renewed nothing, so it counts as no answer.
       contact_.OnNoAnswer(now);
@@ -201,43 +262,15 @@
     return;
   }
   contact_.OnAnswer(now);
-  std::set<TaskRef> running;
-  for (const RunningTask& t : reply.running) {
-    running.insert(t.task);
-    const auto it = runs_.find(t.task);
-    if (it != runs_.end() && it->second.run == t.run) {
-      UpdateRun(now, t, it->second);
-      it->second.stop_accepted =
-          it->second.stop_accepted &&
-          now - it->second.last_stop_at < kAcceptedStopRetryInterval;
-    }
-  }
-  for (const TaskEnded& e : reply.ended) {
-    if (e.end_number <= last_queued_end_) {
-      continue;
-    }
-    TaskEnded end = e;
-    end.incarnation = worker_->incarnation;
-    unrecorded_ends_[end.end_number] = end;
-    last_queued_end_ = end.end_number;
-    pending_records_.emplace_back(end);
-    const auto it = runs_.find(end.task);
-    if (it != runs_.end() && it->second.run == end.run) {
-      it->second.outcome_queued = true;
-    }
-  }
+  ++listing_count_;
+  UpdateRunningRuns(now, reply);
+  QueueListedEnds(call, reply);
   if (call.resolves_in_doubt && call.fence == fence_) {
-    ResolveInDoubtRuns(now, reply);
-    needs_resolution_ = false;
-  }
-  // The stop was accepted before this listing, which does not have the run: its
-  // start never reached the worker, and is rejected if it still does.
-  for (auto& [task, run] : runs_) {
-    if (run.stop_accepted && !run.outcome_queued && !running.contains(task) &&
-        run.last_stop_at < last_hold_at_) {
-      RecordRefusal(task, run, "stopped before it came");
-    }
+    resolution_listing_ =
+        resolution_listing_ == 0 ? listing_count_ : resolution_listing_;
+    ResolveInDoubtRuns(now);
   }
+  ResolveStoppedRuns();
 }
 
 }  // namespace marjoramplank
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -85,6 +85,7 @@
                               .workers = 2,
                               .jobs = jobs,
                               .max_task_run_time = 12s,
+                              .ends_per_listing = 500,
                               .check_guarantees = true});
     const std::string violations = Join(simulation.Run());
     RC_LOG() << "seed " << seed << ", " << jobs << " jobs\n" << violations;
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -343,8 +343,11 @@
     }
   }
   w.ended = unacknowledged;
-  HoldReply reply{
-      .kind = HoldReply::Kind::kOk, .clock_ms = now_.count(), .ended = w.ended};
+  HoldReply reply{.kind = HoldReply::Kind::kOk, .clock_ms = now_.count()};
+  const std::size_t listed =
+      std::min(w.ended.size(), options_.ends_per_listing);
+  reply.ended.assign(w.ended.begin(),
+                     w.ended.begin() + static_cast<std::ptrdiff_t>(listed));
   for (const auto& [task, run] : w.runs) {
     reply.running.push_back({.task = task, .run = run.run});
   }
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -27,6 +27,8 @@
     std::int32_t jobs = 12;
     Duration simulated_time{40'000};
     Duration max_task_run_time{3000};
+    // Most ends that a worker lists at once.
+    std::size_t ends_per_listing = 1;
     // Share of commands that are carried out seconds later, without a reply.
     double delayed_command_share = 0;
     // Share of replies that are lost.
