Supervisor: an agent stops runs that were given to another worker

Cause: leases are counted on the worker's steady clock, which stands still during a suspension; the planner declares the worker lost by its own clock. When the machine wakes, the supervisor forgot the runs that had left the ledger and ignored listed tasks that it did not know, so nobody stopped them. Its first heartbeat in the log gave it permission to renew their leases before it had read what it had missed; a listing with a lease that was decided on before the pause was sent after it.

Change: - A run that the worker lists and the ledger does not give to it is stopped, and no listing and no start renews leases until the worker does not list it any more. A run that leaves the ledger while the worker may have it counts as such a run at once; if its start is in doubt, the fencing token is raised. - The first listing of a process or of an incarnation renews nothing. - After a time without permission to renew leases, a stored heartbeat counts once the ledger was read to its end as of the time of the answer. - The lease of a listing has an end of its permission, as that of a start has.

Why it works: all that the planner decided about the worker before it could read the heartbeat is in the log before that read. A start extends all leases of its worker, so it has to wait as well. A number of a run is never given twice, so stopping a run that has left the ledger cannot hit a later one.

Ruled out: stopping all tasks at once after a long pause without reading the ledger. It would throw away work that is still the worker's own, and reading takes less time than a stop.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -200,7 +200,7 @@
        .on_done = [this](LedgerWriter::Outcome outcome, Time sent_at) {
          if (outcome == LedgerWriter::Outcome::kStored) {
            const std::lock_guard lock(mutex_);
-           supervisor_.OnAgentHeartbeatStored(sent_at);
+           supervisor_.OnAgentHeartbeatStored(sent_at, BootClockNow());
          }
          heartbeat_in_flight_ = false;
        }});
@@ -212,7 +212,7 @@
     const std::lock_guard lock(mutex_);
     ledger_.Read([&](const Ledger& ledger, const LedgerView& view) {
       const bool is_current = view.loaded && now - view.as_of < kMaxLedgerAge;
-      supervisor_.OnLedger(now, ledger, is_current);
+      supervisor_.OnLedger(now, ledger, is_current, view.as_of);
     });
     for (TaskCommand& command : supervisor_.TakeCommands(now)) {
       command_queue_.push_back(std::move(command));
@@ -291,7 +291,7 @@
 void AgentNode::HoldLoop(std::unique_ptr<TaskEndpoint> endpoint) {
   std::unique_lock lock(mutex_);
   while (!stop_requested_) {
-    const std::optional<HoldCall> call = supervisor_.NextHold(BootClockNow());
+    std::optional<HoldCall> call = supervisor_.NextHold(BootClockNow());
     if (!call) {
       wake_requested_ = false;
       wake_condition_.wait_for(lock, kHoldPollInterval, [this] {
@@ -300,6 +300,9 @@
       continue;
     }
     lock.unlock();
+    if (BootClockNow() >= call->renew_before) {
+      call->lease_until.reset();
+    }
     const HoldReply reply =
         endpoint->Hold(*call, call->wait + kHoldTimeoutSlack);
     if (reply.kind != HoldReply::Kind::kOk) {
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -92,6 +92,7 @@
                                   bool has_answered) {
   contact_.Reset(leases_end_by, has_answered);
   runs_.clear();
+  given_away_runs_.clear();
   unrecorded_ends_.clear();
   last_queued_end_ = 0;
   last_recorded_end_ = 0;
@@ -179,8 +180,21 @@
          options_.leases.lease_duration.count();
 }
 
-void Supervisor::OnAgentHeartbeatStored(Time sent_at) {
-  stored_heartbeat_sent_at_ = std::max(stored_heartbeat_sent_at_, sent_at);
+void Supervisor::OnAgentHeartbeatStored(Time sent_at, Time stored_by) {
+  if (CanRenewLeases(stored_by)) {
+    stored_heartbeat_sent_at_ = std::max(stored_heartbeat_sent_at_, sent_at);
+  } else {
+    unread_heartbeats_.push_back({.sent_at = sent_at, .stored_by = stored_by});
+  }
+}
+
+void Supervisor::CountReadHeartbeats(Time as_of) {
+  while (!unread_heartbeats_.empty() &&
+         unread_heartbeats_.front().stored_by <= as_of) {
+    stored_heartbeat_sent_at_ =
+        std::max(stored_heartbeat_sent_at_, unread_heartbeats_.front().sent_at);
+    unread_heartbeats_.pop_front();
+  }
 }
 
 void Supervisor::RecordRefusal(const TaskRef& task,
@@ -194,8 +208,14 @@
                    .reason = reason});
 }
 
-void Supervisor::OnLedger(Time now, const Ledger& ledger, bool current) {
+void Supervisor::OnLedger(Time now,
+                          const Ledger& ledger,
+                          bool current,
+                          Time as_of) {
   is_ledger_current_ = current;
+  if (current) {
+    CountReadHeartbeats(as_of);
+  }
   const LedgerAgent* self = ledger.FindAgent(options_.agent);
   if (fence_ == 0 && self != nullptr && self->process == options_.process) {
     fence_ = self->process_start_count * kFencesPerProcess;
@@ -229,6 +249,9 @@
     const auto live = entry->runs.find(it->first);
     const bool is_gone =
         live == entry->runs.end() || live->second.run != it->second.run;
+    if (is_gone) {
+      OnRunTaken(it->first, it->second);
+    }
     it = is_gone ? runs_.erase(it) : std::next(it);
   }
   for (const auto& [task, live] : entry->runs) {
@@ -264,6 +287,35 @@
   ledger_current_at_ = now;
 }
 
+void Supervisor::OnRunTaken(const TaskRef& task, const LocalRun& run) {
+  if (run.phase == Phase::kPending || run.outcome_queued) {
+    return;
+  }
+  given_away_runs_.try_emplace({task, run.run});
+  if (run.phase != Phase::kOnWorker) {
+    needs_resolution_ = true;
+    resolution_listing_ = 0;
+  }
+}
+
+void Supervisor::StopGivenAwayRuns(Time now, std::vector<TaskCommand>& out) {
+  for (auto& [key, given_away] : given_away_runs_) {
+    if (out.size() >= kMaxCallsAtOnce) {
+      return;
+    }
+    if (given_away.stop_in_flight || given_away.stop_accepted ||
+        now - given_away.last_stop_at < options_.stop_retry_interval) {
+      continue;
+    }
+    given_away.stop_in_flight = true;
+    given_away.last_stop_at = now;
+    out.emplace_back(StopCall{.incarnation = worker_->incarnation,
+                              .fence = fence_,
+                              .task = key.first,
+                              .run = key.second});
+  }
+}
+
 bool Supervisor::HasUnrecordedEnd(const TaskRef& task, std::int32_t run) const {
   return std::any_of(unrecorded_ends_.begin(), unrecorded_ends_.end(),
                      [&](const auto& numbered) {
@@ -287,6 +339,7 @@
   if (!worker_ || has_departed_ || !is_ledger_current_ || fence_ == 0) {
     return out;
   }
+  StopGivenAwayRuns(now, out);
   for (auto& [task, run] : runs_) {
     if (out.size() >= kMaxCallsAtOnce) {
       break;
@@ -328,7 +381,8 @@
       RecordRefusal(task, run, "the worker cannot be reached");
       continue;
     }
-    if (!CanRenewLeases(now) || needs_resolution_) {
+    if (!CanRenewLeases(now) || needs_resolution_ ||
+        !given_away_runs_.empty()) {
       continue;
     }
     run.phase = Phase::kStarting;
@@ -361,7 +415,7 @@
   const bool has_unrecorded_ends = last_queued_end_ > last_recorded_end_;
   const bool has_unacked_ends = last_recorded_end_ > last_acked_end_;
   bool has_started_runs = false;
-  bool has_stopping_runs = false;
+  bool has_stopping_runs = !given_away_runs_.empty();
   for (const auto& [task, run] : runs_) {
     has_started_runs = has_started_runs || run.phase != Phase::kPending;
     has_stopping_runs = has_stopping_runs || run.stop_accepted;
@@ -378,9 +432,12 @@
     ++fence_;
   }
   call.fence = fence_;
-  if (has_started_runs && CanRenewLeases(now) && worker_clock_ms_ > 0 &&
+  // The first listing shows whether the worker has runs of others.
+  if (has_started_runs && listing_count_ > 0 && given_away_runs_.empty() &&
+      CanRenewLeases(now) && worker_clock_ms_ > 0 &&
       contact_.MayRenewLeases(now)) {
     call.lease_until = LeaseExpiryMs(now);
+    call.renew_before = now + kMaxCommandDelay;
     contact_.OnLeaseSent(now + options_.leases.MaxLeaseDuration());
   }
   constexpr Duration kStoppingHoldWait = 60ms;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/jobs/lease_timing.h"
@@ -53,10 +55,16 @@
   // Takes over the commands in the ledger. `current` is true if the ledger was
   // read to its end; starts and stops are only returned while it is. Also
   // derives the fencing tokens of this process: a later process has higher
-  // ones.
-  void OnLedger(Time now, const Ledger& ledger, bool current);
-  // An AgentHeartbeat of this process that was sent at `sent_at` is in the log.
-  void OnAgentHeartbeatStored(Time sent_at);
+  // ones. `as_of`: it has all records that were stored before.
+  void OnLedger(Time now,
+                const Ledger& ledger,
+                bool current,
+                Time as_of = kNever);
+  // An AgentHeartbeat of this process that was sent at `sent_at` is in the log,
+  // and was at `stored_by`. After a time without permission to renew leases it
+  // counts once the ledger was read as of then: the worker's tasks may have
+  // been given to others.
+  void OnAgentHeartbeatStored(Time sent_at, Time stored_by = Time{0});
 
   // Replies to calls.
   void OnStartReply(Time now, const StartCall& call, const CommandReply& reply);
@@ -120,6 +128,15 @@
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
 
+  // A run that the worker has, or may have, although the ledger does not give
+  // it to the worker any more: another worker may run the task.
+  struct GivenAwayRun {
+    bool stop_in_flight = false;  // A stop has been sent without a reply yet.
+    bool stop_accepted = false;
+    Time last_stop_at{0};
+  };
+  using RunKey = std::pair<TaskRef, std::int32_t>;
+
   void ResetWorkerState(Time now, Time leases_end_by, bool has_answered);
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
@@ -140,6 +157,10 @@
                      const std::string& reason);
   void CountReply(Time now, CommandReply::Kind kind);
   void UpdateRun(Time now, const RunningTask& listed, LocalRun& run);
+  void CountReadHeartbeats(Time as_of);
+  // The ledger has taken the run from the worker.
+  void OnRunTaken(const TaskRef& task, const LocalRun& run);
+  void StopGivenAwayRuns(Time now, std::vector<TaskCommand>& out);
   void UpdateRunningRuns(Time now, const HoldReply& reply);
   void QueueListedEnds(const HoldCall& call, const HoldReply& reply);
   // True if the run was not at work at the listing, and no end from before the
@@ -180,6 +201,8 @@
   bool is_report_recorded_ = false;
   Time report_sent_at_{0};
   std::map<TaskRef, LocalRun> runs_;
+  // No lease is renewed, by a listing or a start, while there are any.
+  std::map<RunKey, GivenAwayRun> given_away_runs_;
   // Ends by number: listed by the worker, but not in the ledger yet.
   std::map<std::int64_t, TaskEnded> unrecorded_ends_;
   // Highest number of an end that was queued for the log, that is in the
@@ -190,8 +213,14 @@
   std::vector<LedgerRecord> pending_records_;
   std::int64_t worker_clock_ms_ = 0;  // At `worker_clock_at_`. 0: unknown.
   Time worker_clock_at_{0};
-  // Send time of the newest heartbeat in the log.
+  // Send time of the newest heartbeat in the log that counts.
   Time stored_heartbeat_sent_at_;
+  struct StoredHeartbeat {
+    Time sent_at{0};
+    Time stored_by{0};
+  };
+  // Count once the ledger was read as of `stored_by`. Oldest first.
+  std::deque<StoredHeartbeat> unread_heartbeats_;
   Time last_hold_at_{0};
   Time last_observation_at_{0};
   Time emptied_at_{0};  // The last WorkerEmptied was returned then.
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -1,6 +1,7 @@
 // Handles the worker's replies to starts, stops and listings.
 
 #include <algorithm>
+#include <utility>
 
 #include "src/supervisor/supervisor.h"
 
@@ -114,14 +115,20 @@
     }
     return;
   }
+  const auto record = [&](auto& run) {
+    run.stop_in_flight = false;
+    if (reply.kind == CommandReply::Kind::kDone) {
+      run.stop_accepted = true;
+      run.last_stop_at = now;
+    }
+  };
   const auto it = runs_.find(call.task);
-  if (it == runs_.end() || it->second.run != call.run) {
-    return;
-  }
-  it->second.stop_in_flight = false;
-  if (reply.kind == CommandReply::Kind::kDone) {
-    it->second.stop_accepted = true;
-    it->second.last_stop_at = now;
+  if (it != runs_.end() && it->second.run == call.run) {
+    record(it->second);
+  } else if (const auto given_away =
+                 given_away_runs_.find({call.task, call.run});
+             given_away != given_away_runs_.end()) {
+    record(given_away->second);
   }
 }
 
@@ -140,16 +147,26 @@
 }
 
 void Supervisor::UpdateRunningRuns(Time now, const HoldReply& reply) {
+  const auto expire_stop = [now](auto& run) {
+    run.stop_accepted = run.stop_accepted &&
+                        now - run.last_stop_at < kAcceptedStopRetryInterval;
+  };
+  std::map<RunKey, GivenAwayRun> given_away;
   for (const RunningTask& t : reply.running) {
     const auto it = runs_.find(t.task);
     if (it != runs_.end() && it->second.run == t.run) {
       UpdateRun(now, t, it->second);
       it->second.last_listed_in = listing_count_;
-      it->second.stop_accepted =
-          it->second.stop_accepted &&
-          now - it->second.last_stop_at < kAcceptedStopRetryInterval;
+      expire_stop(it->second);
+      continue;
     }
+    const RunKey key(t.task, t.run);
+    const auto known = given_away_runs_.find(key);
+    GivenAwayRun& run = given_away[key];
+    run = known == given_away_runs_.end() ? GivenAwayRun() : known->second;
+    expire_stop(run);
   }
+  given_away_runs_ = std::move(given_away);
 }
 
 void Supervisor::QueueListedEnds(const HoldCall& call, const HoldReply& reply) {
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -51,6 +51,10 @@
   std::int64_t acked_end = 0;
   // New expiry of the leases, ms on the worker's clock. Empty: not extended.
   std::optional<std::int64_t> lease_until;
+  // The agent's permission to extend the leases ends then, by this machine's
+  // clock. A process that was paused must send the call without them. Not sent
+  // to the worker.
+  Time renew_before = kNever;
   Duration wait{0};  // Longest wait for an end that is not listed yet.
   // The reply decides whether starts that had no reply were carried out. Not
   // sent to the worker.
--- /dev/null
+++ b/tests/unit/given_away_run_test.cc
@@ -0,0 +1,219 @@
+// Runs that a worker still has and the ledger no longer gives to it: its agent
+// was suspended together with the worker, whose leases stood still.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "src/supervisor/supervisor.h"
+
+namespace marjoramplank {
+namespace {
+
+const WorkerIncarnation kIncarnation{.id = "w", .started_at_unix_ms = 1000};
+const Resources kCapacity{.cpu_milli = 8000, .memory_mb = 8000};
+constexpr Duration kTick = 20ms;
+constexpr Duration kSuspension = 20s;
+
+TaskRef Task(std::int32_t index) {
+  return {.job = "j", .index = index};
+}
+
+// An agent with its worker. The log can be read while `is_connected`.
+struct Rig {
+  explicit Rig(const std::string& process)
+      : supervisor({.agent = "agent", .process = process}), process(process) {
+    ledger.Apply(now, AgentHeartbeat{.agent = "agent", .process = process});
+    ledger.Apply(now, WorkerReported{.agent = "agent",
+                                     .incarnation = kIncarnation,
+                                     .service = "s",
+                                     .data_centre = "dc",
+                                     .capacity = kCapacity});
+    ledger.Apply(now, PlannerElected{.entry = "e", .epoch = 1});
+    ledger.Apply(
+        now,
+        JobSubmitted{.request = {.id = "j",
+                                 .account = "a",
+                                 .payload = "p",
+                                 .steps = {{.tasks = 2}},
+                                 .terms = {.queue = "q", .service = "s"}}});
+  }
+
+  void Order(std::int32_t index, std::int32_t run) {
+    REQUIRE(ledger.Apply(
+        now, RunStarted{
+                 .epoch = 1,
+                 .first = Task(index),
+                 .run = run,
+                 .members = {{.index = index, .incarnation = kIncarnation}}}));
+  }
+  // The planner takes every lease to have run out.
+  void GiveAway() {
+    ledger.Apply(now, WorkerEmptied{.incarnation = kIncarnation, .epoch = 1});
+    Report();
+  }
+  void Report() {
+    ledger.Apply(now, WorkerReported{.agent = "agent",
+                                     .incarnation = kIncarnation,
+                                     .service = "s",
+                                     .data_centre = "dc",
+                                     .capacity = kCapacity});
+  }
+  void Heartbeat() {
+    supervisor.OnHeartbeat(now, {.incarnation = kIncarnation,
+                                 .service = "s",
+                                 .data_centre = "dc",
+                                 .capacity = kCapacity,
+                                 .sequence = now.count(),
+                                 .clock_ms = now.count()});
+  }
+  void ReadLedger() { supervisor.OnLedger(now, ledger, /*current=*/true, now); }
+  void List() {
+    now += kTick;
+    if (const auto hold = supervisor.NextHold(now)) {
+      renewals += hold->lease_until ? 1 : 0;
+      HoldReply reply{.kind = HoldReply::Kind::kOk, .clock_ms = now.count()};
+      reply.running = running;
+      supervisor.OnHoldReply(now, *hold, reply);
+    }
+  }
+  void Command() {
+    for (const TaskCommand& command : supervisor.TakeCommands(now)) {
+      const CommandReply done{.kind = CommandReply::Kind::kDone,
+                              .clock_ms = now.count()};
+      if (const auto* start = std::get_if<StartCall>(&command)) {
+        starts.push_back(*start);
+        running.push_back({.task = start->task, .run = start->run});
+        supervisor.OnStartReply(now, *start, done);
+      } else {
+        stops.push_back(std::get<StopCall>(command));
+        supervisor.OnStopReply(now, stops.back(), done);
+      }
+    }
+  }
+  void Run(Duration duration) {
+    for (const Time end = now + duration; now < end;) {
+      Heartbeat();
+      supervisor.OnAgentHeartbeatStored(now, now);
+      ReadLedger();
+      Command();
+      List();
+    }
+  }
+  void Forget(const RunningTask& gone) {
+    std::erase_if(running, [&](const RunningTask& t) {
+      return t.task == gone.task && t.run == gone.run;
+    });
+  }
+
+  Supervisor supervisor;
+  std::string process;
+  Ledger ledger;
+  Time now = 12s;
+  std::vector<RunningTask> running;
+  std::vector<StartCall> starts;
+  std::vector<StopCall> stops;
+  int renewals = 0;
+};
+
+// Guards against two runs at once after a suspension of agent and worker.
+TEST_CASE("given away: a run that the ledger has given to another worker",
+          "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(500ms);
+  REQUIRE(rig.running.size() == 1);
+  REQUIRE(rig.renewals > 0);
+  rig.now += kSuspension;
+  rig.GiveAway();
+  rig.renewals = 0;
+  rig.starts.clear();
+
+  SECTION("is stopped") {
+    rig.Run(200ms);
+    REQUIRE(rig.stops.size() == 1);
+    CHECK(rig.stops[0].task == Task(0));
+    CHECK(rig.stops[0].run == 1);
+  }
+  SECTION("is stopped again if it is still there") {
+    rig.Run(2s);
+    CHECK(rig.stops.size() == 2);
+  }
+  SECTION("has no lease renewed") {
+    rig.Run(1s);
+    CHECK(rig.renewals == 0);
+  }
+  SECTION("holds up the start of another until it has gone") {
+    rig.Run(100ms);
+    rig.Order(1, 1);
+    rig.Run(400ms);
+    CHECK(rig.starts.empty());
+    rig.Forget({.task = Task(0)});
+    rig.Run(400ms);
+    CHECK(rig.starts.size() == 1);
+    CHECK(rig.renewals > 0);
+  }
+  SECTION("is stopped although the ledger orders its next run here") {
+    rig.Run(100ms);
+    rig.Order(0, 2);
+    rig.Run(400ms);
+    REQUIRE_FALSE(rig.stops.empty());
+    CHECK(rig.stops[0].run == 1);
+    rig.Forget({.task = Task(0)});
+    rig.Run(400ms);
+    REQUIRE(rig.starts.size() == 1);
+    CHECK(rig.starts[0].run == 2);
+  }
+}
+
+// Guards against a lease that is renewed before the agent knows what it missed.
+TEST_CASE("given away: an agent that wakes reads the ledger first",
+          "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(500ms);
+  const Time suspended_at = rig.now;
+  rig.now += kSuspension;
+  rig.renewals = 0;
+
+  SECTION("a heartbeat that was stored after the pause renews nothing yet") {
+    rig.supervisor.OnAgentHeartbeatStored(rig.now, rig.now);
+    rig.List();
+    CHECK(rig.renewals == 0);
+    rig.supervisor.OnLedger(rig.now, rig.ledger, /*current=*/true,
+                            suspended_at);
+    rig.List();
+    CHECK(rig.renewals == 0);
+    rig.ReadLedger();
+    rig.List();
+    CHECK(rig.renewals == 1);
+  }
+  SECTION("a lease that was decided on before the pause has an end") {
+    rig.now = suspended_at;
+    rig.Heartbeat();
+    rig.supervisor.OnAgentHeartbeatStored(rig.now, rig.now);
+    rig.ReadLedger();
+    const auto hold = rig.supervisor.NextHold(rig.now + kTick);
+    REQUIRE(hold.has_value());
+    REQUIRE(hold->lease_until.has_value());
+    CHECK(hold->renew_before <= rig.now + kTick + 500ms);
+  }
+}
+
+TEST_CASE("given away: a restarted agent lists before it renews",
+          "[supervisor]") {
+  Rig rig("p2");
+  rig.running = {{.task = Task(0)}};
+  rig.Order(1, 1);
+  rig.Run(60ms);
+  CHECK(rig.renewals == 0);
+  rig.Run(200ms);
+  CHECK(rig.renewals == 0);
+  CHECK(rig.stops.size() == 1);
+  CHECK(rig.starts.empty());
+}
+
+}  // namespace
+}  // namespace marjoramplank
