--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/jobs/lease_timing.h"
@@ -22,6 +24,8 @@
 // A start without a reply is in doubt: the worker may carry it out seconds
 // later. It is resolved by raising the fencing token and then listing the
 // tasks: a start that is not listed under the new token can never take effect.
+// A listing may be cut off before the last end, so a run that it does not show
+// stays in doubt until every end from before that listing has been seen.
 class Supervisor {
  public:
   struct Options {
@@ -59,10 +63,16 @@
   // Takes over the commands in the ledger. `current` is true if the ledger was
   // read to its end; starts and stops are only returned while it is. Also
   // derives the fencing tokens of this process: a later process has higher
-  // ones.
-  void OnLedger(Time now, const Ledger& ledger, bool current);
-  // An AgentHeartbeat of this process that was sent at `sent_at` is in the log.
-  void OnAgentHeartbeatStored(Time sent_at);
+  // ones. `as_of`: it has all records that were stored before.
+  void OnLedger(Time now,
+                const Ledger& ledger,
+                bool current,
+                Time as_of = kNever);
+  // An AgentHeartbeat of this process that was sent at `sent_at` is in the log,
+  // and was at `stored_by`. After a time without permission to renew leases it
+  // counts once the ledger was read as of then: the worker's tasks may have
+  // been given to others.
+  void OnAgentHeartbeatStored(Time sent_at, Time stored_by = Time{0});
 
   // Replies to calls.
   void OnStartReply(Time now, const StartCall& call, const CommandReply& reply);
@@ -104,6 +114,10 @@
     bool stop_accepted = false;   // The worker has accepted the stop.
     // Its end or refusal has been returned for the log, or is about to be.
     bool outcome_queued = false;
+    // Number of the last listing that showed it at work. 0: none.
+    std::int64_t last_listed_in = 0;
+    // Number of the first listing after an accepted stop. 0: none yet.
+    std::int64_t listed_after_stop = 0;
     bool is_gang = false;
     Resources need;
     bool is_long_running = false;  // Runs until cancelled, so it cannot stall.
@@ -123,6 +137,15 @@
     Time last_stop_at{0};  // A stop was last sent, or accepted, then.
   };
 
+  // A run that the worker has, or may have, although the ledger does not give
+  // it to the worker any more: another worker may run the task.
+  struct GivenAwayRun {
+    bool stop_in_flight = false;  // A stop has been sent without a reply yet.
+    bool stop_accepted = false;
+    Time last_stop_at{0};
+  };
+  using RunKey = std::pair<TaskRef, std::int32_t>;
+
   void ResetWorkerState(Time now);
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
@@ -143,6 +166,7 @@
   void EndIncarnation(Ending ending, const std::string& reason);
   // Ends the incarnation if no process listens at its address any more.
   void CheckProcessEnded(Time now);
+  bool HasUnrecordedEnd(const TaskRef& task, std::int32_t run) const;
   // True if the worker's present capacity has room for the run beside all that
   // it may be running, including what is being stopped.
   bool HasRoomFor(const LocalRun& run) const;
@@ -153,7 +177,17 @@
                      const std::string& reason);
   void CountReply(Time now, CommandReply::Kind kind);
   void UpdateRun(Time now, const RunningTask& listed, LocalRun& run);
-  void ResolveInDoubtRuns(Time now, const HoldReply& reply);
+  void CountReadHeartbeats(Time as_of);
+  // The ledger has taken the run from the worker.
+  void OnRunTaken(const TaskRef& task, const LocalRun& run);
+  void StopGivenAwayRuns(Time now, std::vector<TaskCommand>& out);
+  void UpdateRunningRuns(Time now, const HoldReply& reply);
+  void QueueListedEnds(const HoldCall& call, const HoldReply& reply);
+  // True if the run was not at work at the listing, and no end from before the
+  // listing is unseen.
+  bool WasNotCarriedOut(const LocalRun& run, std::int64_t listing) const;
+  void ResolveInDoubtRuns(Time now);
+  void ResolveStoppedRuns();
   // Expiry of a lease that is renewed now, ms on the worker's clock.
   std::int64_t LeaseExpiryMs(Time now) const;
   void UpdateWorkerClock(Time now, std::optional<std::int64_t> clock_ms);
@@ -179,6 +213,12 @@
   bool has_announced_departure_ = false;
   // A listing must resolve starts in doubt.
   bool needs_resolution_ = false;
+  // Number of the first listing of this resolution. 0: the fencing token must
+  // be raised for it.
+  std::int64_t resolution_listing_ = 0;
+  std::int64_t listing_count_ = 0;  // Listings that were answered.
+  // Every end from before this listing has been seen.
+  std::int64_t ends_seen_before_listing_ = 0;
   // At the last OnLedger().
   bool is_ledger_current_ = false;
   // At some time since this incarnation of the worker was first seen.
@@ -189,6 +229,8 @@
   bool is_report_recorded_ = false;
   Time report_sent_at_{0};
   std::map<TaskRef, LocalRun> runs_;
+  // No lease is renewed, by a listing or a start, while there are any.
+  std::map<RunKey, GivenAwayRun> given_away_runs_;
   // Ends by number: listed by the worker, but not in the ledger yet.
   std::map<std::int64_t, TaskEnded> unrecorded_ends_;
   // Highest number of an end that was queued for the log, that is in the
@@ -200,8 +242,14 @@
   std::int64_t last_statement_ = 0;
   std::int64_t worker_clock_ms_ = 0;  // At `worker_clock_at_`. 0: unknown.
   Time worker_clock_at_{0};
-  // Send time of the newest heartbeat in the log.
+  // Send time of the newest heartbeat in the log that counts.
   Time stored_heartbeat_sent_at_;
+  struct StoredHeartbeat {
+    Time sent_at{0};
+    Time stored_by{0};
+  };
+  // Count once the ledger was read as of `stored_by`. Oldest first.
+  std::deque<StoredHeartbeat> unread_heartbeats_;
   Time last_hold_at_{0};
   Time last_observation_at_{0};
   Time emptied_at_{0};  // The last WorkerEmptied was returned then.
