Failed runs of a long-running task no longer end a job that has other steps

What callers saw: a job with a step that ends and a step that lasts was shown as failed after maxAttempts failures of the task that lasts, and that task was not started again.

Cause: CountFailure waived the limit of attempts only for jobs of which all steps last.

Evidence, long_running_test on the code before: after two failed runs of the long-running task the job has ended, and its third run is void: long_running_test.cc:41: FAILED: REQUIRE( ledger.Apply(kNow, RunStarted{... .run = run ...}) ) with expansion: false test cases: 1 | 1 failed; assertions: 11 | 10 passed | 1 failed

Change: the step of the run that failed decides. A run of a step that ends counts as before, also beside one that lasts (second section of the test).

Ruled out: a job with a long-running step can be completed early. FinishUnit is not reached for such a step, so it is never done.

After: the test passes; unit tests 74 cases, all passed; properties without [protocol], 400 each: passed.

--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -397,7 +397,7 @@
     return;
   }
   if (outcome == TaskOutcome::kFailed) {
-    CountFailure(job, *unit, incarnation);
+    CountFailure(job, step, *unit, incarnation);
     if (job.ended()) {
       return;
     }
@@ -412,6 +412,7 @@
 }
 
 void Ledger::CountFailure(LedgerJob& job,
+                          const JobStep& step,
                           RunUnit& unit,
                           const WorkerIncarnation& incarnation) {
   unit.failed_on_workers.insert(incarnation);
@@ -420,10 +421,7 @@
   }
   unit.failure_counted = true;
   ++unit.failures;
-  const bool lasting =
-      std::all_of(job.request.steps.begin(), job.request.steps.end(),
-                  [](const JobStep& step) { return step.long_running; });
-  if (unit.failures >= job.request.terms.max_attempts && !lasting) {
+  if (unit.failures >= job.request.terms.max_attempts && !step.long_running) {
     EndJob(job, JobPhase::kFailed);
   }
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -187,6 +187,7 @@
                        const std::string& checkpoint,
                        const WorkerIncarnation& incarnation);
   void CountFailure(LedgerJob& job,
+                    const JobStep& step,
                     RunUnit& unit,
                     const WorkerIncarnation& incarnation);
   void FinishUnit(LedgerJob& job, const TaskRef& task, RunUnit& unit);
