Workers that crash under a long-running task no longer end its job

What callers saw: a job with a long-running task was shown as failed, and the task not started again, once three workers had crashed shortly after its start, although its tasks are to be restarted however they end.

Cause: FailCrashingJobs did not look at the task's step.

Evidence, long_running_test on the code before: after the third crash the job has ended, and the fourth run is void: long_running_test.cc:69: FAILED: REQUIRE( ledger.Apply(kNow, RunStarted{... .run = run ...}) ) with expansion: false test cases: 2 | 1 passed | 1 failed

Change: only tasks of steps that end can fail their job by crashes.

Not changed: a long-running task that crashes every worker is tried again as soon as a settled worker is free; there is no growing pause for the task itself.

After: unit tests 75 cases, all passed; properties without [protocol], 400 each: passed.

--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -499,8 +499,12 @@
 void Ledger::FailCrashingJobs(const LedgerWorker& worker) {
   for (const CrashSuspect& suspect : worker.crash_suspects) {
     const auto it = jobs_.find(suspect.task.job);
-    if (it != jobs_.end() && !it->second.ended() &&
-        suspect.crashed_workers >= kMaxCrashedWorkers) {
+    if (it == jobs_.end() || it->second.ended() ||
+        suspect.crashed_workers < kMaxCrashedWorkers) {
+      continue;
+    }
+    const auto step = static_cast<std::size_t>(suspect.task.step);
+    if (!it->second.request.steps[step].long_running) {
       EndJob(it->second, JobPhase::kFailed);
     }
   }
