Workers that go down and up fail no job: a crash counts by machine, and only against sound machines

Cause: CountCrash counted crashed workers without asking which machine they were of, so three restarts of one machine looked like three machines that a task had taken down. Class: evidence from one source counted as if it were independent. And a worker that had just crashed got work again as soon as it was back, so each of its crashes met a fresh start.

Change: a unit's crashes are kept by task and machine (its agent). The ledger remembers the last 8 crashes of a machine with their suspects. A job fails with the third machine that is sound, that is, each of its crashes names the task or another task that has crashed other machines too (or whose job has failed). A worker that goes down and up shows itself: its machine gets no work for 1.5 s after a crash, doubled in a row up to 6 s, so its next crash finds it idle. A task is not put on a machine that crashed under it while another has room. A crash record that is read twice counts once, as an idle crash would otherwise be added. The counts of an earlier version, which names no agents, are read as those of one machine.

Existing test changed: in "the worker that is settled next is kept free for it" worker 2 had crashed and is kept out now, so the check would pass without it; worker 3, which has not crashed, takes its place. The other sections on the limit of three are unchanged.

Crashes from history have no age now, like the liveness of workers (ForgetLiveness).

Looked for elsewhere: failures and refused starts are counted by incarnation and only keep a worker out for some seconds; failed runs end a job by its own attempts alone.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -19,21 +19,30 @@
           .checkpoint = unit.unit->checkpoint};
 }
 
+// Doubles with each of `count` events in a row. 0 events: none.
+Duration Backoff(Duration first, Duration max, std::int32_t count) {
+  constexpr std::int32_t kMaxDoublings = 4;
+  return count == 0
+             ? Duration(0)
+             : std::min(first * (1 << std::min(count - 1, kMaxDoublings)), max);
+}
+
 }  // namespace
 
 bool Dispatcher::IsQuarantined(const Input& in,
+                               const LedgerAgent& agent,
                                const LedgerWorker& worker) const {
   const Duration since_trouble = in.now - worker.last_failure_at;
   if (worker.consecutive_failures >= options_.quarantine_failures &&
       since_trouble < options_.quarantine_time) {
     return true;
   }
-  if (worker.consecutive_refusals == 0) {
-    return false;
-  }
-  const int doublings = std::min(worker.consecutive_refusals - 1, 4);
-  return since_trouble < std::min(options_.refusal_backoff * (1 << doublings),
-                                  options_.refusal_backoff_max);
+  return since_trouble < Backoff(options_.refusal_backoff,
+                                 options_.refusal_backoff_max,
+                                 worker.consecutive_refusals) ||
+         in.now - agent.last_crash_at < Backoff(options_.crash_backoff,
+                                                options_.crash_backoff_max,
+                                                agent.consecutive_crashes);
 }
 
 CapacityTable Dispatcher::BuildCapacityTable(const Input& in) const {
@@ -50,7 +59,7 @@
     const WorkerCapacity worker{
         .entry = entry,
         .free = entry->report.capacity - entry->used,
-        .is_quarantined = IsQuarantined(in, *entry),
+        .is_quarantined = IsQuarantined(in, agent, *entry),
         .is_settled = trials_.IsSettled(in.now, *entry)};
     table.Add(agent.incarnation, worker);
   }
@@ -237,7 +246,8 @@
   const bool has_rack_preference =
       is_same_rack_gang || !unit.step->data_rack.empty();
   for (const bool allow_failed_worker : {false, true}) {
-    if (allow_failed_worker && unit.unit->failed_on_workers.empty()) {
+    if (allow_failed_worker && unit.unit->failed_on_workers.empty() &&
+        unit.unit->crashes.empty()) {
       break;  // No worker is excluded, so the result is the same.
     }
     for (const bool allow_any_rack : {false, true}) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -36,6 +36,10 @@
     // differently.
     Duration refusal_backoff{300};
     Duration refusal_backoff_max{4000};
+    // A machine whose worker crashed gets no work for this long, doubled with
+    // each crash in a row: a worker that goes down and up stays empty.
+    Duration crash_backoff{1500};
+    Duration crash_backoff_max{6000};
     TrialRules::Options trials;
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
@@ -88,7 +92,9 @@
 
  private:
   CapacityTable BuildCapacityTable(const Input& in) const;
-  bool IsQuarantined(const Input& in, const LedgerWorker& worker) const;
+  bool IsQuarantined(const Input& in,
+                     const LedgerAgent& agent,
+                     const LedgerWorker& worker) const;
   std::vector<WaitingUnit> SortedWaitingUnits(const Input& in) const;
   void AppendWaitingUnits(const Input& in,
                           const LedgerJob& job,
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -55,7 +55,8 @@
     return false;
   }
   if (!options.allow_failed_worker &&
-      unit.unit->failed_on_workers.contains(entry.report.incarnation)) {
+      (unit.unit->failed_on_workers.contains(entry.report.incarnation) ||
+       unit.unit->HasCrashed(entry.report.agent))) {
     return false;
   }
   return options.allow_any_rack || unit.step->data_rack.empty() ||
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -170,6 +170,12 @@
 struct TaskCrashes {
   index @0 : Int32;
   workers @1 : Int32;
+  agents @2 : List(AgentCrashes);
+}
+
+struct AgentCrashes {
+  agent @0 : Text;
+  workers @1 : Int32;
 }
 
 struct JobState {
@@ -206,6 +212,8 @@
   life @1 : Life;
   process @2 : Text;
   starts @3 : Int64;
+  crashesInRow @4 : Int32;
+  crashes @5 : List(List(Task));
 }
 
 struct Snapshot {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -1,10 +1,21 @@
 #include "src/jobs/ledger.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace marjoramplank {
 
+namespace {
+
+std::int32_t SumOf(const std::map<std::string, std::int32_t>& counts) {
+  return std::accumulate(
+      counts.begin(), counts.end(), std::int32_t{0},
+      [](std::int32_t sum, const auto& entry) { return sum + entry.second; });
+}
+
+}  // namespace
+
 const char* ToString(JobPhase phase) {
   switch (phase) {
     case JobPhase::kQueued:
@@ -31,12 +42,18 @@
 
 std::int32_t RunUnit::MaxCrashes() const {
   std::int32_t max = 0;
-  for (const auto& [index, workers] : crashes) {
-    max = std::max(max, workers);
+  for (const auto& [index, by_agent] : crashes) {
+    max = std::max(max, SumOf(by_agent));
   }
   return max;
 }
 
+bool RunUnit::HasCrashed(const std::string& agent) const {
+  return std::any_of(crashes.begin(), crashes.end(), [&](const auto& entry) {
+    return entry.second.contains(agent);
+  });
+}
+
 bool Ledger::Apply(Time now, const LedgerRecord& record) {
   return std::visit([&](const auto& r) { return ApplyRecord(now, r); }, record);
 }
@@ -137,6 +154,7 @@
 void Ledger::ForgetLiveness() {
   for (auto& [name, agent] : agents_) {
     agent.heard_worker = {};
+    agent.last_crash_at = Time{0};
   }
 }
 
@@ -171,16 +189,17 @@
   return true;
 }
 
-bool Ledger::ApplyRecord(Time, const WorkerEmptied& r) {
+bool Ledger::ApplyRecord(Time now, const WorkerEmptied& r) {
   const auto it = workers_.find(r.incarnation);
   if (it == workers_.end() || (r.epoch != 0 && r.epoch != planner_epoch_)) {
     return false;
   }
-  if (r.crashed) {
-    CountCrash(it->second, r);
+  const bool is_new_crash = r.crashed && !it->second.incarnation_ended;
+  if (is_new_crash) {
+    CountCrash(now, it->second, r);
   }
   EndAllRuns(it->second);
-  if (r.crashed) {
+  if (is_new_crash) {
     FailCrashingJobs(it->second);
   }
   it->second.report.accepting = false;
@@ -296,6 +315,7 @@
   if (r.outcome == TaskOutcome::kDone) {
     worker.consecutive_failures = 0;
     worker.consecutive_refusals = 0;
+    agents_[worker.report.agent].consecutive_crashes = 0;
   }
   if (r.outcome == TaskOutcome::kFailed) {
     ++worker.consecutive_failures;
@@ -340,7 +360,7 @@
     return 0;
   }
   const auto it = unit->crashes.find(task.index);
-  return it == unit->crashes.end() ? 0 : it->second;
+  return it == unit->crashes.end() ? 0 : SumOf(it->second);
 }
 
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
@@ -481,7 +501,13 @@
   }
 }
 
-void Ledger::CountCrash(LedgerWorker& worker, const WorkerEmptied& r) {
+void Ledger::CountCrash(Time now,
+                        LedgerWorker& worker,
+                        const WorkerEmptied& r) {
+  LedgerAgent& agent = agents_[worker.report.agent];
+  ++agent.consecutive_crashes;
+  agent.last_crash_at = now;
+  std::vector<TaskRef>& tasks = agent.crashes.emplace_back();
   worker.crash_suspects.clear();
   for (const SuspectRun& suspect : r.suspects) {
     const auto live = worker.runs.find(suspect.task);
@@ -489,18 +515,71 @@
     if (live != worker.runs.end() && live->second.run == suspect.run &&
         unit != nullptr && unit->run == suspect.run &&
         unit->phase == RunUnit::Phase::kRunning) {
+      ++unit->crashes[suspect.task.index][worker.report.agent];
       worker.crash_suspects.push_back(
           {.task = suspect.task,
-           .crashed_workers = ++unit->crashes[suspect.task.index]});
+           .crashed_workers = CrashedWorkers(suspect.task)});
+      tasks.push_back(suspect.task);
+    }
+  }
+  if (agent.crashes.size() > kMaxCrashHistory) {
+    agent.crashes.erase(agent.crashes.begin());
+  }
+}
+
+bool Ledger::HasCrashedMachines(const TaskRef& task) const {
+  const LedgerJob* job = FindJob(task.job);
+  if (job != nullptr && job->phase == JobPhase::kFailed) {
+    return true;
+  }
+  const RunUnit* unit = FindUnit(task);
+  if (unit == nullptr) {
+    return false;
+  }
+  const auto it = unit->crashes.find(task.index);
+  return it != unit->crashes.end() && it->second.size() > 1;
+}
+
+bool Ledger::CrashesWithout(const std::string& agent,
+                            const TaskRef& task) const {
+  const LedgerAgent* entry = FindAgent(agent);
+  if (entry == nullptr) {
+    return false;
+  }
+  return std::any_of(entry->crashes.begin(), entry->crashes.end(),
+                     [&](const std::vector<TaskRef>& suspects) {
+                       return std::none_of(suspects.begin(), suspects.end(),
+                                           [&](const TaskRef& suspect) {
+                                             return suspect == task ||
+                                                    HasCrashedMachines(suspect);
+                                           });
+                     });
+}
+
+bool Ledger::IsToBlame(const TaskRef& task) const {
+  const RunUnit* unit = FindUnit(task);
+  if (unit == nullptr || !unit->crashes.contains(task.index)) {
+    return false;
+  }
+  const auto& by_agent = unit->crashes.at(task.index);
+  std::int32_t sound_machines = 0;
+  std::int32_t workers_of_sound_machines = 0;
+  for (const auto& [agent, workers] : by_agent) {
+    if (!CrashesWithout(agent, task)) {
+      ++sound_machines;
+      workers_of_sound_machines += workers;
     }
   }
+  return sound_machines >= kMaxCrashedMachines ||
+         workers_of_sound_machines >= kMaxCrashedWorkers ||
+         (std::ssize(by_agent) >= kMaxCrashedMachines &&
+          SumOf(by_agent) >= kMaxCrashedWorkers);
 }
 
 void Ledger::FailCrashingJobs(const LedgerWorker& worker) {
   for (const CrashSuspect& suspect : worker.crash_suspects) {
     const auto it = jobs_.find(suspect.task.job);
-    if (it == jobs_.end() || it->second.ended() ||
-        suspect.crashed_workers < kMaxCrashedWorkers) {
+    if (it == jobs_.end() || it->second.ended() || !IsToBlame(suspect.task)) {
       continue;
     }
     const auto step = static_cast<std::size_t>(suspect.task.step);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -29,12 +29,14 @@
   std::vector<MemberPlace> members;  // Placement of the current run.
   // Workers on which a run has failed.
   std::set<WorkerIncarnation> failed_on_workers;
-  // Workers that crashed right after they had started a task of the unit, by
-  // the task's index.
-  std::map<std::int32_t, std::int32_t> crashes;
+  // Workers that crashed right after they had started a task of the unit: by
+  // the task's index, then by the agent of their machine.
+  std::map<std::int32_t, std::map<std::string, std::int32_t>> crashes;
 
   // The count of the task that has the most.
   std::int32_t MaxCrashes() const;
+  // True if a worker of the agent is among them.
+  bool HasCrashed(const std::string& agent) const;
 
   friend bool operator==(const RunUnit&, const RunUnit&) = default;
 };
@@ -111,6 +113,13 @@
   // not known to live.
   WorkerIncarnation heard_worker;
   Time worker_heard_at{0};
+  // Crashed workers since a run last ended as done on one of its workers.
+  std::int32_t consecutive_crashes = 0;
+  // The suspects of each of the latest crashes, oldest first. None: the worker
+  // was idle, or had started nothing lately.
+  std::vector<std::vector<TaskRef>> crashes;
+  // Not replicated, and not taken from history: see ForgetLiveness().
+  Time last_crash_at{0};
 };
 
 // Replicated state machine: every process applies the same records in the same
@@ -122,8 +131,8 @@
   // Returns false if the record had no effect.
   bool Apply(Time now, const LedgerRecord& record);
   // Call when a process has replayed the history from before its start: what
-  // that history says about live workers is of unknown age. A worker gets work
-  // again once its agent reports it anew.
+  // that history says about live workers and crashes is of unknown age. A
+  // worker gets work again once its agent reports it anew.
   void ForgetLiveness();
 
   const LedgerJob* FindJob(const std::string& id) const;
@@ -195,8 +204,14 @@
   void EndJob(LedgerJob& job, JobPhase phase);
   // Ends every run on the worker as if its lease had expired.
   void EndAllRuns(LedgerWorker& worker);
-  // Counts the crash for the tasks that may have caused it.
-  void CountCrash(LedgerWorker& worker, const WorkerEmptied& r);
+  // Counts the crash for its machine and the tasks that may have caused it.
+  void CountCrash(Time now, LedgerWorker& worker, const WorkerEmptied& r);
+  // True if the crashes prove that the task causes them.
+  bool IsToBlame(const TaskRef& task) const;
+  // True if the agent's workers crash for reasons other than the task.
+  bool CrashesWithout(const std::string& agent, const TaskRef& task) const;
+  // True if workers of several machines have crashed under the task.
+  bool HasCrashedMachines(const TaskRef& task) const;
   // Fails the jobs of tasks that crash the workers that run them.
   void FailCrashingJobs(const LedgerWorker& worker);
 
@@ -215,13 +230,21 @@
   std::int64_t ended_count_ = 0;  // Not replicated.
 };
 
-// A job fails once this many workers have crashed right after they had started
-// one of its tasks: the task crashes them.
-inline constexpr std::int32_t kMaxCrashedWorkers = 3;
+// A job fails once workers of this many machines have crashed right after they
+// had started one of its tasks. Machines whose workers also crash without the
+// task are no evidence against it.
+inline constexpr std::int32_t kMaxCrashedMachines = 3;
 
-// From this many on, a task runs on trial: see Dispatcher. The next crash is
-// then certain to be its own.
-inline constexpr std::int32_t kTrialCrashedWorkers = kMaxCrashedWorkers - 1;
+// The bound on crashes under one task, if fewer of its machines are evidence:
+// for workers of sound machines, or of kMaxCrashedMachines of any kind.
+inline constexpr std::int32_t kMaxCrashedWorkers = 5;
+
+// From this many crashed workers on, a task runs on trial: see Dispatcher. The
+// next crash is then certain to be its own, unless the machine is at fault.
+inline constexpr std::int32_t kTrialCrashedWorkers = 2;
+
+// Crashes that are remembered of a machine.
+inline constexpr std::size_t kMaxCrashHistory = 8;
 
 // Ended jobs that are kept for status queries. At 59,000 jobs a day this covers
 // 8 hours.
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -16,6 +16,68 @@
 using ledger_wire::FromWire;
 using ledger_wire::ToWire;
 
+using CrashesByAgent = std::map<std::string, std::int32_t>;
+
+void WriteCrashes(std::int32_t index,
+                  const CrashesByAgent& in,
+                  ledger_wire::TaskCrashes::Builder out) {
+  auto agents = out.initAgents(static_cast<unsigned>(in.size()));
+  std::int32_t sum = 0;
+  unsigned n = 0;
+  for (const auto& [agent, workers] : in) {
+    agents[n].setAgent(agent);
+    agents[n++].setWorkers(workers);
+    sum += workers;
+  }
+  out.setIndex(index);
+  out.setWorkers(sum);
+}
+
+CrashesByAgent ReadCrashes(ledger_wire::TaskCrashes::Reader in) {
+  CrashesByAgent out;
+  for (const auto entry : in.getAgents()) {
+    out[FromWire(entry.getAgent())] = entry.getWorkers();
+  }
+  // An earlier version does not name the agents.
+  if (out.empty() && in.getWorkers() > 0) {
+    out[""] = in.getWorkers();
+  }
+  return out;
+}
+
+void WriteAgent(const std::string& name,
+                const LedgerAgent& in,
+                ledger_wire::AgentState::Builder out) {
+  out.setAgent(name);
+  ToWire(in.incarnation, out.initLife());
+  out.setProcess(in.process);
+  out.setStarts(in.process_start_count);
+  out.setCrashesInRow(in.consecutive_crashes);
+  auto crashes = out.initCrashes(static_cast<unsigned>(in.crashes.size()));
+  for (unsigned n = 0; n < crashes.size(); ++n) {
+    const std::vector<TaskRef>& suspects = in.crashes[n];
+    auto tasks = crashes.init(n, static_cast<unsigned>(suspects.size()));
+    for (unsigned t = 0; t < tasks.size(); ++t) {
+      ToWire(suspects[t], tasks[t]);
+    }
+  }
+}
+
+LedgerAgent ReadAgent(Time now, ledger_wire::AgentState::Reader in) {
+  LedgerAgent out{.incarnation = FromWire(in.getLife()),
+                  .process = FromWire(in.getProcess()),
+                  .process_start_count = in.getStarts(),
+                  .last_heartbeat_at = now,
+                  .consecutive_crashes = in.getCrashesInRow()};
+  for (const auto tasks : in.getCrashes()) {
+    std::vector<TaskRef>& suspects = out.crashes.emplace_back();
+    for (const auto task : tasks) {
+      suspects.push_back(FromWire(task));
+    }
+  }
+  return out;
+}
+
 void WriteUnit(const RunUnit& in, ledger_wire::Unit::Builder out) {
   out.setPhase(static_cast<std::uint8_t>(in.phase));
   out.setFailedInRun(in.failure_counted);
@@ -36,9 +98,8 @@
   }
   auto crashes = out.initCrashes(static_cast<unsigned>(in.crashes.size()));
   n = 0;
-  for (const auto& [index, workers] : in.crashes) {
-    crashes[n].setIndex(index);
-    crashes[n++].setWorkers(workers);
+  for (const auto& [index, by_agent] : in.crashes) {
+    WriteCrashes(index, by_agent, crashes[n++]);
   }
 }
 
@@ -55,7 +116,7 @@
     out.failed_on_workers.insert(FromWire(incarnation));
   }
   for (const auto crash : in.getCrashes()) {
-    out.crashes[crash.getIndex()] = crash.getWorkers();
+    out.crashes[crash.getIndex()] = ReadCrashes(crash);
   }
   return out;
 }
@@ -184,11 +245,7 @@
   auto agents = out.initAgents(static_cast<unsigned>(ledger.agents_.size()));
   n = 0;
   for (const auto& [name, agent] : ledger.agents_) {
-    auto a = agents[n++];
-    a.setAgent(name);
-    ToWire(agent.incarnation, a.initLife());
-    a.setProcess(agent.process);
-    a.setStarts(agent.process_start_count);
+    WriteAgent(name, agent, agents[n++]);
   }
   auto entries = out.initEntries(static_cast<unsigned>(ledger.entries_.size()));
   n = 0;
@@ -233,11 +290,7 @@
       ledger.workers_.emplace(entry.report.incarnation, std::move(entry));
     }
     for (const auto agent : in.getAgents()) {
-      ledger.agents_[FromWire(agent.getAgent())] = {
-          .incarnation = FromWire(agent.getLife()),
-          .process = FromWire(agent.getProcess()),
-          .process_start_count = agent.getStarts(),
-          .last_heartbeat_at = now};
+      ledger.agents_[FromWire(agent.getAgent())] = ReadAgent(now, agent);
     }
     for (const auto entry : in.getEntries()) {
       EntryStarted e = FromWire(entry);
--- a/tests/unit/crashing_task_test.cc
+++ b/tests/unit/crashing_task_test.cc
@@ -156,6 +156,134 @@
   }
 }
 
+// Guards against a task that is blamed for workers that go down by themselves.
+TEST_CASE("only sound machines are evidence against a task", "[crash]") {
+  Ledger ledger = Cluster();
+  AddJob(ledger, "task");
+
+  SECTION("one that goes down and up three times counts once") {
+    for (int run = 1; run <= 3; ++run) {
+      StartAndCrash(ledger, "task", run, 1);
+    }
+    CHECK(PhaseOf(ledger, "task") == JobPhase::kRunning);
+    SECTION("the third machine ends the job") {
+      StartAndCrash(ledger, "task", 4, 2);
+      REQUIRE(PhaseOf(ledger, "task") == JobPhase::kRunning);
+      StartAndCrash(ledger, "task", 5, 3);
+      CHECK(PhaseOf(ledger, "task") == JobPhase::kFailed);
+    }
+    SECTION("so do five crashes of one that never crashes without the task") {
+      StartAndCrash(ledger, "task", 4, 1);
+      REQUIRE(PhaseOf(ledger, "task") == JobPhase::kRunning);
+      StartAndCrash(ledger, "task", 5, 1);
+      CHECK(PhaseOf(ledger, "task") == JobPhase::kFailed);
+    }
+    SECTION("but not of one that crashes while it is idle") {
+      Crash(ledger, 1, {});
+      for (int run = 4; run <= 6; ++run) {
+        StartAndCrash(ledger, "task", run, 1);
+      }
+      CHECK(PhaseOf(ledger, "task") == JobPhase::kRunning);
+    }
+  }
+  SECTION("one that crashes while it is idle does not count") {
+    Crash(ledger, 3, {});
+    for (int run = 1; run <= 3; ++run) {
+      StartAndCrash(ledger, "task", run, run);
+    }
+    CHECK(PhaseOf(ledger, "task") == JobPhase::kRunning);
+    SECTION("which a snapshot keeps") {
+      auto restored =
+          LedgerSnapshot::Load(kNow, LedgerSnapshot::Save(ledger, 7));
+      REQUIRE(restored);
+      StartAndCrash(restored->ledger, "task", 4, 3);
+      CHECK(PhaseOf(restored->ledger, "task") == JobPhase::kRunning);
+    }
+    SECTION("until the task has crashed workers five times") {
+      StartAndCrash(ledger, "task", 4, 3);
+      REQUIRE(PhaseOf(ledger, "task") == JobPhase::kRunning);
+      StartAndCrash(ledger, "task", 5, 3);
+      CHECK(PhaseOf(ledger, "task") == JobPhase::kFailed);
+    }
+  }
+  SECTION("nor does one that crashes under another task") {
+    AddJob(ledger, "other");
+    StartAndCrash(ledger, "other", 1, 3);
+    for (int run = 1; run <= 3; ++run) {
+      StartAndCrash(ledger, "task", run, run);
+    }
+    CHECK(PhaseOf(ledger, "task") == JobPhase::kRunning);
+  }
+  SECTION("unless that task crashes other machines too") {
+    AddJob(ledger, "other");
+    for (int run = 1; run <= 2; ++run) {
+      StartAndCrash(ledger, "other", run, run);
+    }
+    for (int run = 1; run <= 3; ++run) {
+      StartAndCrash(ledger, "task", run, run);
+    }
+    CHECK(PhaseOf(ledger, "task") == JobPhase::kFailed);
+  }
+  SECTION("a record that is read twice counts once") {
+    for (int run = 1; run <= 2; ++run) {
+      StartAndCrash(ledger, "task", run, run);
+    }
+    const WorkerEmptied record{.incarnation = MakeIncarnation(2),
+                               .incarnation_ended = true,
+                               .crashed = true};
+    ledger.Apply(kNow, record);
+    ledger.Apply(kNow, record);
+    CHECK(ledger.FindAgent("a2")->crashes.size() == 2);
+  }
+}
+
+// Guards against work for a worker that goes down and up.
+TEST_CASE("a machine whose workers crash is kept out for a growing time",
+          "[crash]") {
+  Ledger ledger = Cluster();
+  AddJob(ledger, "other", 8 * kWorkers);
+
+  SECTION("after one crash for a short time") {
+    Crash(ledger, 1, {});
+    CHECK_FALSE(HasStartOn(Starts(ledger, kNow + 1s), 1));
+    CHECK(HasStartOn(Starts(ledger, kNow + 1500ms), 1));
+  }
+  SECTION("after more crashes for longer, up to a bound") {
+    for (int n = 0; n < 9; ++n) {
+      Crash(ledger, 1, {});
+    }
+    CHECK_FALSE(HasStartOn(Starts(ledger, kNow + 5s), 1));
+    CHECK(HasStartOn(Starts(ledger, kNow + 6s), 1));
+    SECTION("also counted by a process that has loaded a snapshot") {
+      auto restored =
+          LedgerSnapshot::Load(kNow, LedgerSnapshot::Save(ledger, 7));
+      REQUIRE(restored);
+      Crash(restored->ledger, 1, {});
+      CHECK_FALSE(HasStartOn(Starts(restored->ledger, kNow + 5s), 1));
+    }
+    SECTION("not for crashes of unknown age") {
+      ledger.ForgetLiveness();
+      CHECK(HasStartOn(Starts(ledger, kNow), 1));
+    }
+    SECTION("a run that is done there ends the series") {
+      AddJob(ledger, "done");
+      Start(ledger, kNow, "done", 1, 1);
+      ledger.Apply(kNow, TaskEnded{.incarnation = MakeIncarnation(1),
+                                   .end_number = 1,
+                                   .task = {.job = "done"}});
+      CHECK(HasStartOn(Starts(ledger, kNow + 1s), 1));
+    }
+  }
+  SECTION("a task prefers a machine that has not crashed under it") {
+    Ledger small = Cluster(2);
+    AddJob(small, "task");
+    StartAndCrash(small, "task", 1, 0);
+    const auto starts = Starts(small, kNow + 7s);
+    REQUIRE(starts.size() == 1);
+    CHECK(HasStartOn(starts, 1));
+  }
+}
+
 // Guards against neighbours that are blamed for the crashes of another task.
 TEST_CASE("a task under which two workers have crashed runs on trial",
           "[crash]") {
@@ -199,13 +327,13 @@
   SECTION("the worker that is settled next is kept free for it") {
     for (int n = 0; n < kWorkers; ++n) {
       AddJob(ledger, "fresh" + std::to_string(n));
-      Start(ledger, kNow + (n == 2 ? 0ms : 500ms), "fresh" + std::to_string(n),
+      Start(ledger, kNow + (n == 3 ? 0ms : 500ms), "fresh" + std::to_string(n),
             1, n);
     }
     AddJob(ledger, "other", 8 * kWorkers);
     const auto starts = Starts(ledger, kNow + 1s);
     REQUIRE_FALSE(starts.empty());
-    CHECK_FALSE(HasStartOn(starts, 2));
+    CHECK_FALSE(HasStartOn(starts, 3));
   }
   SECTION("trials occupy a quarter of the workers at most") {
     AddJob(ledger, "second");
