--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -174,6 +174,12 @@
 struct TaskCrashes {
   index @0 : Int32;
   workers @1 : Int32;
+  agents @2 : List(AgentCrashes);
+}
+
+struct AgentCrashes {
+  agent @0 : Text;
+  workers @1 : Int32;
 }
 
 struct JobState {
@@ -212,6 +218,8 @@
   starts @3 : Int64;
   processBefore @4 : Text;
   lastStatement @5 : Int64;
+  crashesInRow @6 : Int32;
+  crashes @7 : List(List(Task));
 }
 
 struct Snapshot {
