--- /dev/null
+++ b/tests/soak/plan.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace marjoramplank::soak {
+
+enum class FaultKind {
+  kForeignHeartbeat,
+  kKill,
+  kKillAll,  // All agents, or all entries.
+  kTerminate,
+  kHangUp,
+  kSuspend,         // An entry or an agent.
+  kSuspendWorker,   // A worker without its agent.
+  kSuspendMachine,  // A worker with its agent.
+  kWorkerCrash,
+  kWorkerLeave,
+  kStore,
+  kOddEntry,
+};
+
+struct Fault {
+  std::int64_t at_ms = 0;  // From the begin of the run.
+  FaultKind kind = FaultKind::kKill;
+  int target = 0;  // Number of the entry, agent or worker.
+  bool at_entry = false;
+  std::int64_t length_ms = 0;
+  int variant = 0;
+  std::string word;  // Of the store's control file.
+  double figure = 0;
+};
+
+struct Job {
+  std::int64_t at_ms = 0;
+  std::string id;
+  std::string prefix;
+  std::string body;
+  std::vector<int> tasks;  // By step.
+  int max_attempts = 0;
+  std::int64_t cancel_after_ms = 0;  // 0: not cancelled.
+  bool persistent = false;           // Asks again after a rejection.
+};
+
+struct Shape {
+  std::int64_t length_ms = 0;
+  int entries = 0;
+  int workers = 0;
+};
+
+// All that a run does, drawn up front from the seed.
+struct Plan {
+  std::vector<Fault> faults;
+  std::vector<Job> jobs;
+  int listed_ends = 0;  // By a worker in one answer.
+  int page_keys = 0;    // Of the store.
+  bool odd_rows = false;
+};
+
+Plan DrawPlan(std::uint64_t seed, const Shape& shape);
+
+std::string ToText(const Fault& fault);
+
+}  // namespace marjoramplank::soak
--- a/review/standins/client.cpp
+++ b/tests/standins/client.cc
@@ -12,7 +12,7 @@
 #include <random>
 #include <vector>
 
-#include "common.hpp"
+#include "tests/standins/standin.h"
 
 namespace {
 
@@ -102,15 +102,16 @@
     const std::string body = a.size() > 6 ? a[6] : "";
     const Result result =
         Send(a.at(1), a.at(2), a.at(3), a.at(4), a.at(5), body);
-    review::Note("client", a.at(1) + " " + a.at(3) +
-                               (body.empty() ? "" : " " + body) + " -> " +
-                               std::to_string(result.status) + " " +
-                               result.body);
+    marjoramplank::standins::Note(
+        "client", a.at(1) + " " + a.at(3) + (body.empty() ? "" : " " + body) +
+                      " -> " + std::to_string(result.status) + " " +
+                      result.body);
     std::cout << result.status << " " << result.body << "\n";
     return 0;
   } catch (const std::exception& e) {
     if (a.size() > 3) {
-      review::Note("client", a.at(1) + " " + a.at(3) + " -> no answer");
+      marjoramplank::standins::Note("client",
+                                    a.at(1) + " " + a.at(3) + " -> no answer");
     }
     std::cout << "0\n";
     return 1;
--- a/review/standins/common.hpp
+++ b/tests/standins/standin.h
@@ -1,4 +1,4 @@
-// Parts that the stand-ins share: the record of a case, and a small HTTP
+// Parts that the stand-ins share: the record of what they see, and a small HTTP
 // server on Poco::Net.
 #pragma once
 
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/ThreadPool.h>
@@ -24,8 +25,9 @@
 #include <memory>
 #include <sstream>
 #include <string>
+#include <thread>
 
-namespace review {
+namespace marjoramplank::standins {
 
 inline std::int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -39,8 +41,8 @@
       .count();
 }
 
-// Appends one line to the record of the case: Unix ms, source, text. Several
-// processes write to it, so a line is one write.
+// Appends one line to the record, the file named by RECORD: Unix ms, source,
+// text. Several processes write to it, so a line is one write.
 inline void Note(const std::string& source, const std::string& text) {
   static const char* const path = std::getenv("RECORD");
   static const int fd =
@@ -64,9 +66,19 @@
   int status = 200;
   std::string body = "{}";
   std::string type = "application/json";
-  bool lost = false;  // The connection is closed without an answer.
+  // What the caller gets of the answer.
+  enum class Delivery {
+    kWhole,
+    kLost,   // The connection is closed without an answer.
+    kReset,  // The connection is reset.
+    kHalf,   // The connection is closed in the middle of the answer.
+    kStall,  // Nothing is sent, and the connection stays open for a while.
+  };
+  Delivery delivery = Delivery::kWhole;
 };
 
+constexpr std::chrono::seconds kStallTime{6};
+
 using Handler = std::function<Answer(const Call&)>;
 
 class Server {
@@ -101,10 +113,9 @@
       }
       Poco::StreamCopier::copyToString(in.stream(), call.body);
       const Answer answer = handler_(call);
-      if (answer.lost) {
-        // Without an answer, Poco closes the connection.
-        out.setKeepAlive(false);
-        throw Poco::Exception("the answer is lost");
+      if (answer.delivery != Answer::Delivery::kWhole) {
+        BreakOff(in, answer);
+        return;
       }
       out.setStatusAndReason(
           static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
@@ -113,6 +124,30 @@
     }
 
    private:
+    // Poco would send an answer of its own, so the socket is closed first.
+    [[noreturn]] static void BreakOff(Poco::Net::HTTPServerRequest& in,
+                                      const Answer& answer) {
+      Poco::Net::StreamSocket socket =
+          dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(in).socket();
+      if (answer.delivery == Answer::Delivery::kHalf) {
+        const std::string text =
+            "HTTP/1.1 200 OK\r\nContent-Type: " + answer.type +
+            "\r\nContent-Length: " + std::to_string(answer.body.size()) +
+            "\r\n\r\n" + answer.body.substr(0, answer.body.size() / 2);
+        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+      } else if (answer.delivery == Answer::Delivery::kStall) {
+        std::this_thread::sleep_for(kStallTime);
+      } else if (answer.delivery == Answer::Delivery::kReset) {
+        socket.setLinger(true, 0);
+      }
+      if (answer.delivery == Answer::Delivery::kReset) {
+        socket.close();
+      } else {
+        socket.shutdown();
+      }
+      throw Poco::Exception("the answer is broken off");
+    }
+
     const Handler& handler_;
   };
 
@@ -167,4 +202,4 @@
   std::map<std::string, std::string> values_;
 };
 
-}  // namespace review
+}  // namespace marjoramplank::standins
--- a/review/standins/store.cpp
+++ b/tests/standins/store.cc
@@ -1,25 +1,32 @@
 // Stand-in for the platform's store, in its form as a log: log-append,
 // log-read and log-newest as PROTOCOL.md has them.
-//   store --address IP:PORT [--control FILE]
-// It answers after 4 ms. The control file may hold a line
-// "lost SHARE": that share of the appends is done and not answered;
-// "late SHARE": they are done 1 to 6 s later instead;
-// "silent 1": no call is done or answered.
+//   store --address IP:PORT [--control FILE] [--seed N] [--page KEYS]
+// It answers after 4 ms. The control file may hold lines of a word and a
+// figure:
+//   lost SHARE    that share of the appends is done and not answered
+//   late SHARE    these are done 1 to 6 s later instead
+//   silent 1      no call is done or answered
+//   slow MS       each call takes so much longer
+//   refuse SHARE, busy SHARE  these calls get a 503 or a 429
+//   reset SHARE   the connections of these calls are reset, nothing is done
+//   half SHARE    these answers are cut in the middle
+//   stall SHARE   these calls are done, and their connections go silent
+//   forget S      records older than so many seconds expire
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <fstream>
 #include <mutex>
 #include <random>
 #include <thread>
-#include <tuple>
 #include <vector>
 
 #include <Poco/Base64Encoder.h>
 
-#include "common.hpp"
+#include "tests/standins/standin.h"
 
-namespace review {
+namespace marjoramplank::standins {
 namespace {
 
 constexpr std::chrono::milliseconds kAnswerTime{4};
@@ -29,7 +36,13 @@
 constexpr std::size_t kMaxRecordBytes = 262'144;
 constexpr std::size_t kMaxCallBytes = 2'097'152;
 
-struct Append {
+constexpr std::size_t kPageKeys = 500;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+struct DoneAppend {
   std::int64_t sequence = 0;
   Answer answer;
 };
@@ -38,11 +51,13 @@
   std::int64_t epoch = -1;
   std::int64_t next_sequence = 0;
   bool any_sequence = true;
-  std::deque<Append> last;
+  std::deque<DoneAppend> last;
 };
 
 struct Partition {
   std::vector<std::string> records;
+  std::vector<std::int64_t> appended_ms;  // Of each record.
+  std::size_t first = 0;                  // Records before it have expired.
   std::map<std::string, Producer> producers;
 };
 
@@ -62,65 +77,76 @@
 
 class Store {
  public:
-  explicit Store(std::string control) : control_(std::move(control)) {}
+  explicit Store(const Options& o)
+      : control_(o.Text("control")),
+        page_(static_cast<std::size_t>(o.Int("page", kPageKeys))),
+        random_(static_cast<std::mt19937::result_type>(o.Int("seed"))) {}
 
   Answer Handle(const Call& call) {
-    if (Control().first == "silent") {
-      while (Control().first == "silent") {
+    if (Control().contains("silent")) {
+      while (Control().contains("silent")) {
         std::this_thread::sleep_for(kControlPoll);
       }
-      return {.lost = true};
+      return {.delivery = Answer::Delivery::kLost};
     }
-    const std::string name = Query(call, "topic") + "/" + Query(call, "part");
-    if (call.path == "/v1/log-append") {
-      std::string how;
-      if (IsLost(how)) {
-        if (how == "late") {
-          std::thread([this, call, name, wait = LateWait()] {
-            std::this_thread::sleep_for(wait);
-            DoAppend(name, call);
-            Note("store", "a late append is done: " + name);
-          }).detach();
-        } else {
-          DoAppend(name, call);
-        }
-        Note("store", "an append is not answered (" + how + "): " + name);
-        return {.lost = true};
-      }
-      std::this_thread::sleep_for(kAnswerTime);
-      return DoAppend(name, call);
+    const Faults faults = Control();
+    if (const auto it = faults.find("slow"); it != faults.end()) {
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(static_cast<int>(it->second)));
     }
-    std::this_thread::sleep_for(kAnswerTime);
-    if (call.path == "/v1/log-read") {
-      return DoRead(name, call);
+    if (Hits(faults, "reset")) {
+      return {.delivery = Answer::Delivery::kReset};
     }
-    if (call.path == "/v1/log-newest") {
-      return DoNewest(name, call);
+    if (Hits(faults, "refuse")) {
+      return {.status = kUnavailable};
+    }
+    if (Hits(faults, "busy")) {
+      return {.status = kTooManyRequests};
+    }
+    if (const auto it = faults.find("forget"); it != faults.end()) {
+      Forget(it->second);
     }
-    return {.status = 404};
+    std::this_thread::sleep_for(kAnswerTime);
+    Answer out =
+        call.path == "/v1/log-append" ? Append(faults, call) : Read(call);
+    if (Hits(faults, "half")) {
+      out.delivery = Answer::Delivery::kHalf;
+    } else if (Hits(faults, "stall")) {
+      out.delivery = Answer::Delivery::kStall;
+    }
+    return out;
   }
 
  private:
+  // Figures of the control file by word.
+  using Faults = std::map<std::string, double>;
+
   static std::string Query(const Call& call, const std::string& name) {
     const auto it = call.query.find(name);
     return it == call.query.end() ? "" : it->second;
   }
 
-  std::pair<std::string, double> Control() const {
-    std::pair<std::string, double> out;
+  static std::string PartitionName(const Call& call) {
+    return Query(call, "topic") + "/" + Query(call, "part");
+  }
+
+  Faults Control() const {
+    Faults out;
     std::ifstream in(control_);
-    if (control_.empty() || !(in >> out.first >> out.second)) {
-      return {};
+    std::string word;
+    for (double figure = 0; in >> word >> figure;) {
+      out[word] = figure;
     }
     return out;
   }
 
-  bool IsLost(std::string& how) {
-    double share = 0;
-    std::tie(how, share) = Control();
+  bool Hits(const Faults& faults, const std::string& word) {
+    const auto it = faults.find(word);
+    if (it == faults.end()) {
+      return false;
+    }
     const std::lock_guard lock(mutex_);
-    return (how == "lost" || how == "late") &&
-           std::uniform_real_distribution<double>(0, 1)(random_) < share;
+    return std::uniform_real_distribution<double>(0, 1)(random_) < it->second;
   }
 
   std::chrono::milliseconds LateWait() {
@@ -129,6 +155,46 @@
         std::uniform_int_distribution<int>(1000, 6000)(random_));
   }
 
+  void Forget(double keep_s) {
+    const std::int64_t before =
+        SteadyMs() - static_cast<std::int64_t>(keep_s * 1000);
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, p] : partitions_) {
+      while (p.first < p.records.size() && p.appended_ms[p.first] < before) {
+        ++p.first;
+      }
+    }
+  }
+
+  Answer Append(const Faults& faults, const Call& call) {
+    const std::string name = PartitionName(call);
+    if (Hits(faults, "late")) {
+      std::thread([this, call, name, wait = LateWait()] {
+        std::this_thread::sleep_for(wait);
+        DoAppend(name, call);
+        Note("store", "a late append is done: " + name);
+      }).detach();
+      Note("store", "an append is not answered (late): " + name);
+      return {.delivery = Answer::Delivery::kLost};
+    }
+    Answer out = DoAppend(name, call);
+    if (Hits(faults, "lost")) {
+      Note("store", "an append is not answered (lost): " + name);
+      out.delivery = Answer::Delivery::kLost;
+    }
+    return out;
+  }
+
+  Answer Read(const Call& call) {
+    if (call.path == "/v1/log-read") {
+      return DoRead(PartitionName(call), call);
+    }
+    if (call.path == "/v1/log-newest") {
+      return DoNewest(PartitionName(call), call);
+    }
+    return {.status = kNotFound};
+  }
+
   Answer DoAppend(const std::string& name, const Call& call) {
     std::vector<std::string> records;
     std::size_t at = 0;
@@ -157,7 +223,7 @@
       if (epoch > producer->epoch) {
         *producer = {.epoch = epoch};
       }
-      for (const Append& done : producer->last) {
+      for (const DoneAppend& done : producer->last) {
         if (done.sequence == sequence && !records.empty()) {
           return done.answer;
         }
@@ -171,8 +237,9 @@
     }
     body.set("offset", static_cast<std::int64_t>(p.records.size()));
     p.records.insert(p.records.end(), records.begin(), records.end());
+    p.appended_ms.resize(p.records.size(), SteadyMs());
     body.set("endOffset", static_cast<std::int64_t>(p.records.size()));
-    const Answer answer{.body = ToText(body)};
+    Answer answer{.body = ToText(body)};
     if (producer != nullptr && !records.empty()) {
       producer->any_sequence = false;
       producer->next_sequence = sequence + 1;
@@ -193,9 +260,13 @@
         lock, std::chrono::milliseconds(wait.empty() ? 0 : std::stoll(wait)),
         [&] { return partitions_[name].records.size() > from; });
     const Partition& p = partitions_[name];
+    if (from < p.first) {
+      return {.status = kGone,
+              .body = R"({"firstOffset":)" + std::to_string(p.first) + "}"};
+    }
     Answer out{.body = "", .type = "application/octet-stream"};
     PutBigEndian(out.body, p.records.size(), 8);
-    PutBigEndian(out.body, 0, 8);
+    PutBigEndian(out.body, p.first, 8);
     for (std::size_t n = from;
          n < p.records.size() && out.body.size() < kMaxReadBytes; ++n) {
       PutBigEndian(out.body, p.records[n].size(), 4);
@@ -204,8 +275,7 @@
     return out;
   }
 
-  // All keys in one page: the topics of a case are small.
-  Answer DoNewest(const std::string& name, const Call&) {
+  Answer DoNewest(const std::string& name, const Call& call) {
     const std::lock_guard lock(mutex_);
     const Partition& p = partitions_[name];
     std::map<std::string, std::pair<std::string, std::int64_t>> newest;
@@ -221,7 +291,9 @@
       }
     }
     Poco::JSON::Array items;
-    for (const auto& [key, record] : newest) {
+    auto it = newest.upper_bound(Query(call, "dependsOn"));
+    for (; it != newest.end() && items.size() < page_; ++it) {
+      const auto& [key, record] = *it;
       std::ostringstream text;
       Poco::Base64Encoder encoder(text);
       encoder.rdbuf()->setLineLength(0);
@@ -235,27 +307,30 @@
     }
     Poco::JSON::Object body;
     body.set("items", items);
-    body.set("hasMore", false);
+    body.set("hasMore", it != newest.end());
     body.set("endOffset", static_cast<std::int64_t>(p.records.size()));
     return {.body = ToText(body)};
   }
 
   const std::string control_;
+  const std::size_t page_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Partition> partitions_;
-  std::mt19937 random_{std::random_device{}()};
+  std::mt19937 random_;
 };
 
 }  // namespace
-}  // namespace review
+}  // namespace marjoramplank::standins
 
 int main(int argc, char** argv) {
-  const review::Options options(argc, argv);
-  review::Store store(options.Text("control"));
-  const review::Server server(
+  const marjoramplank::standins::Options options(argc, argv);
+  marjoramplank::standins::Store store(options);
+  const marjoramplank::standins::Server server(
       options.Text("address"), 300,
-      [&](const review::Call& call) { return store.Handle(call); });
+      [&](const marjoramplank::standins::Call& call) {
+        return store.Handle(call);
+      });
   for (;;) {
     pause();
   }
--- a/review/standins/worker.cpp
+++ b/tests/standins/worker.cc
@@ -3,10 +3,13 @@
 //   worker --id ID --address IP:PORT --agent IP:PORT --service NAME
 //          --zone ZONE --rack RACK [--cpu N --mem N --gpu N --max-hold MS]
 //          [--clock-offset MS]   of its time of day, which gives `born`
+//          [--name NAME]         in the record, instead of the id
+//          [--listed-ends N]     in one answer, 500 if not given
+//          [--odd-rows 1]        lists have rows that name no run
 //          [--control FILE]      while it holds "busy", starts get a 503
 // The taskSpec says what the tasks of a step do, for example
-// "0:run_ms=2000 1:lasting,fail_ms=4000". SIGTERM: the worker drains, waits
-// for its tasks for 2.5 s, deregisters and ends.
+// "0:run_ms=2000,saves 1:lasting,fail_ms=4000,once". SIGTERM: the worker
+// drains, waits for its tasks for 2.5 s, deregisters and ends.
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -19,9 +22,9 @@
 #include <mutex>
 #include <thread>
 
-#include "common.hpp"
+#include "tests/standins/standin.h"
 
-namespace review {
+namespace marjoramplank::standins {
 namespace {
 
 constexpr std::int64_t kHeartbeatMs = 1500;
@@ -29,7 +32,8 @@
 constexpr std::int64_t kLastingStartupMs = 300;
 constexpr std::int64_t kDrainMs = 2500;
 constexpr std::int64_t kMaxStepMs = 500;
-constexpr std::size_t kListedEnds = 500;  // In one answer.
+constexpr std::int64_t kListedEnds = 500;  // In one answer.
+constexpr std::int64_t kCheckpointMs = 2000;
 
 std::int64_t NumberAfter(const std::string& text, const std::string& name) {
   const std::size_t at = text.find(name + "=");
@@ -45,6 +49,9 @@
   std::int64_t stops = 0;    // 0: no stop.
   bool fails = false;
   bool lasting = false;
+  bool saves = false;        // Makes checkpoints.
+  std::int64_t resumed = 0;  // Work that the checkpoint at its start held.
+  std::string saved;
 };
 
 struct End {
@@ -52,17 +59,31 @@
   std::string task;
   std::int64_t run = 0;
   std::string how;
+  std::string saved;
 };
 
+// A checkpoint is "TASK@MS", with the work that it holds.
+std::string MakeCheckpoint(const std::string& task, std::int64_t work_ms) {
+  return task + "@" + std::to_string(work_ms);
+}
+
+std::int64_t WorkIn(const std::string& checkpoint) {
+  const std::size_t at = checkpoint.find('@');
+  return at == std::string::npos ? 0 : std::stoll(checkpoint.substr(at + 1));
+}
+
 class Worker {
  public:
   explicit Worker(const Options& o)
       : o_(o),
         id_(o.Text("id")),
+        name_(o.Text("name", id_)),
+        listed_ends_(
+            static_cast<std::size_t>(o.Int("listed-ends", kListedEnds))),
         clock_read_at_(SteadyMs()),
         born_(UnixMs() + o.Int("clock-offset")) {
-    Note(id_, "life begins, born " + std::to_string(born_) + ", rack " +
-                  o.Text("rack"));
+    Note(name_, "life begins, born " + std::to_string(born_) + ", rack " +
+                    o.Text("rack"));
   }
 
   Answer Handle(const Call& call) {
@@ -81,8 +102,8 @@
     fence_ = fence;
     if (call.path == "/v1/run-start") {
       if (IsBusy()) {
-        Note(id_, "is unhealthy: 503 to the start of " +
-                      in->getValue<std::string>("task"));
+        Note(name_, "is unhealthy: 503 to the start of " +
+                        in->getValue<std::string>("task"));
         return {.status = 503};
       }
       return Start(*in, out);
@@ -122,7 +143,7 @@
     SendHeartbeat();
     std::this_thread::sleep_for(std::chrono::milliseconds(kDrainMs));
     Send("/v1/Instances.Deregister/" + id_, "");
-    Note(id_, "life ends, deregistered");
+    Note(name_, "life ends, deregistered");
     std::_Exit(0);
   }
 
@@ -148,14 +169,15 @@
     return in >> word && word == "busy";
   }
 
-  void AddEnd(const std::string& task,
-              std::int64_t run,
-              const std::string& how) {
-    ended_.push_back(
-        {.number = ++end_count_, .task = task, .run = run, .how = how});
-    last_ended_run_[task] = std::max(last_ended_run_[task], run);
-    Note(id_, "run ends " + task + " run " + std::to_string(run) + " " + how +
-                  " number " + std::to_string(end_count_));
+  void AddEnd(const std::string& task, const Run& r, const std::string& how) {
+    ended_.push_back({.number = ++end_count_,
+                      .task = task,
+                      .run = r.run,
+                      .how = how,
+                      .saved = r.saved});
+    last_ended_run_[task] = std::max(last_ended_run_[task], r.run);
+    Note(name_, "run ends " + task + " run " + std::to_string(r.run) + " " +
+                    how + " number " + std::to_string(end_count_));
     ended_changed_.notify_all();
   }
 
@@ -164,10 +186,10 @@
     const std::int64_t now = Clock();
     if (has_lease_ && now >= lease_) {
       has_lease_ = false;
-      Note(id_, "lease lapses");
+      Note(name_, "lease lapses");
     }
     for (auto it = running_.begin(); it != running_.end();) {
-      const Run& r = it->second;
+      Run& r = it->second;
       std::string how;
       if (now >= lease_) {
         how = "lapsed";
@@ -176,10 +198,15 @@
       } else if (r.ends > 0 && now >= r.ends) {
         how = r.fails ? "failed" : "done";
       }
+      const std::int64_t work = r.resumed + now - r.started;
+      if (r.saves &&
+          (how == "stopped" || work >= WorkIn(r.saved) + kCheckpointMs)) {
+        r.saved = MakeCheckpoint(it->first, work);
+      }
       if (how.empty()) {
         ++it;
       } else {
-        AddEnd(it->first, r.run, how);
+        AddEnd(it->first, r, how);
         it = running_.erase(it);
       }
     }
@@ -210,13 +237,20 @@
         Behaviour(task, in.getValue<std::string>("taskSpec"));
     Run r{.run = run, .started = Clock()};
     r.lasting = what.find("lasting") != std::string::npos;
-    r.fails = NumberAfter(what, "fail_ms") > 0;
+    r.fails = NumberAfter(what, "fail_ms") > 0 &&
+              (run == 1 || what.find("once") == std::string::npos);
+    r.saves = what.find("saves") != std::string::npos;
+    r.saved = in.optValue<std::string>("checkpoint", "");
+    r.resumed = WorkIn(r.saved);
     const std::int64_t length =
         r.fails ? NumberAfter(what, "fail_ms") : NumberAfter(what, "run_ms");
-    r.ends = length > 0 ? Clock() + length : 0;
+    r.ends = length > 0
+                 ? Clock() + std::max<std::int64_t>(1, length - r.resumed)
+                 : 0;
     running_[task] = r;
-    Note(id_, "run starts " + task + " run " + std::to_string(run) + " fence " +
-                  std::to_string(fence_));
+    Note(name_, "run starts " + task + " run " + std::to_string(run) +
+                    " fence " + std::to_string(fence_) +
+                    (r.saved.empty() ? "" : " checkpoint " + r.saved));
     return {.body = ToText(out)};
   }
 
@@ -253,7 +287,7 @@
               std::unique_lock<std::mutex>& lock) {
     const std::int64_t seen = in.optValue<std::int64_t>("lastSeen", 0);
     if (!ended_.empty() && ended_.front().number <= seen) {
-      Note(id_, "taken note of ends up to " + std::to_string(seen));
+      Note(name_, "taken note of ends up to " + std::to_string(seen));
     }
     while (!ended_.empty() && ended_.front().number <= seen) {
       ended_.pop_front();
@@ -270,7 +304,7 @@
       Poco::JSON::Array row;
       row.add(task);
       row.add(r.run);
-      row.add(std::string());
+      row.add(r.saved);
       const std::int64_t age = Clock() - r.started;
       const std::int64_t percent =
           r.lasting ? (age >= kLastingStartupMs ? 100 : 0)
@@ -281,16 +315,20 @@
       running.add(row);
     }
     Poco::JSON::Array ended;
-    for (std::size_t n = 0; n < ended_.size() && n < kListedEnds; ++n) {
+    for (std::size_t n = 0; n < ended_.size() && n < listed_ends_; ++n) {
       const End& e = ended_[n];
       Poco::JSON::Array row;
       row.add(e.number);
       row.add(e.task);
       row.add(e.run);
       row.add(e.how);
-      row.add(std::string());
+      row.add(e.saved);
       ended.add(row);
     }
+    if (o_.Int("odd-rows") != 0) {
+      AddOddRows(running);
+      AddOddRows(ended);
+    }
     out.set("clockMs", Clock());
     out.set("born", born_);
     out.set("running", running);
@@ -298,6 +336,16 @@
     return {.body = ToText(out)};
   }
 
+  static void AddOddRows(Poco::JSON::Array& list) {
+    Poco::JSON::Array row;
+    row.add(std::string("x"));
+    row.add(Poco::Dynamic::Var());
+    list.add(row);
+    list.add(Poco::JSON::Array());
+    list.add(Poco::Dynamic::Var());
+    list.add(std::string("x"));
+  }
+
   void SendHeartbeat() {
     Poco::JSON::Object capacity;
     capacity.set("cpu", o_.Int("cpu", 128000));
@@ -340,16 +388,18 @@
       Poco::Net::HTTPResponse response;
       session.receiveResponse(response);
       if (response.getStatus() != 200) {
-        Note(id_,
+        Note(name_,
              "heartbeat is answered " + std::to_string(response.getStatus()));
       }
     } catch (const Poco::Exception& e) {
-      Note(id_, "heartbeat is not answered: " + e.displayText());
+      Note(name_, "heartbeat is not answered: " + e.displayText());
     }
   }
 
   const Options o_;
   const std::string id_;
+  const std::string name_;
+  const std::size_t listed_ends_;
   std::int64_t clock_ = 1000;
   std::int64_t clock_read_at_ = 0;
   const std::int64_t born_;
@@ -368,7 +418,7 @@
 };
 
 }  // namespace
-}  // namespace review
+}  // namespace marjoramplank::standins
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -376,11 +426,13 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  const review::Options options(argc, argv);
-  review::Worker worker(options);
-  const review::Server server(
+  const marjoramplank::standins::Options options(argc, argv);
+  marjoramplank::standins::Worker worker(options);
+  const marjoramplank::standins::Server server(
       options.Text("address"), 30,
-      [&](const review::Call& call) { return worker.Handle(call); });
+      [&](const marjoramplank::standins::Call& call) {
+        return worker.Handle(call);
+      });
   std::thread([&] { worker.TickLoop(); }).detach();
   std::thread([&] { worker.HeartbeatLoop(); }).detach();
   int signal = 0;
