--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -38,6 +38,7 @@
   std::string prefix;
   std::string body;
   std::vector<int> tasks;  // By step.
+  int task_cpu = 0;        // Of the largest task, in milli.
   int max_attempts = 0;
   std::int64_t cancel_after_ms = 0;  // 0: not cancelled.
   bool persistent = false;           // Asks again after a rejection.
