A guarantee takes back what urgent jobs of other accounts have borrowed

Jobs of priority 0 of an account beyond its guarantee, or without one, use all accelerators. A job of another account within its guarantee waits until they end, against RECLAIM: the number "belongs to the tenant for its jobs of priority 0, at all times", and others use what is idle.

Cause: only runs of a lower priority were victims.

Change: a unit within its guarantee may displace any run of a job that is not within one. Runs of its own priority count as urgent: workers and racks on which fewer of them must end come first, whatever the lost work. Units beyond their guarantee displace lower priorities only, as before.

Open: tasks of a step with a limit of stops are not displaced, also where the limit has room. Tasks within guarantees are not moved, so they can be spread over workers such that a wide task of another guarantee finds no worker.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -148,12 +148,13 @@
   }
 }
 
-std::vector<WaitingUnit> Dispatcher::SortedWaitingUnits(const Input& in) const {
+std::vector<WaitingUnit> Dispatcher::SortedWaitingUnits(
+    const Input& in,
+    const std::set<std::string>& guaranteed_jobs) const {
   std::vector<WaitingUnit> out;
   for (const std::string& id : in.ledger.open_jobs()) {
     AppendWaitingUnits(in, in.ledger.jobs().at(id), out);
   }
-  const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   for (WaitingUnit& unit : out) {
     unit.is_guaranteed = guaranteed_jobs.contains(unit.first_task.job);
   }
@@ -343,12 +344,14 @@
   StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
   std::set<TaskRef> stopped_units;
-  const std::vector<WaitingUnit> waiting_units = SortedWaitingUnits(in);
+  const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
+  const std::vector<WaitingUnit> waiting_units =
+      SortedWaitingUnits(in, guaranteed_jobs);
   if (in.trace != nullptr) {
     in.trace->usable_workers = table.workers().size();
     in.trace->waiting_units = waiting_units.size();
   }
-  PreemptionSearch search(in.now, in.ledger, table);
+  PreemptionSearch search(in.now, in.ledger, table, guaranteed_jobs);
   ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
                                   table);
   IdleJobs idle_jobs(in.ledger, table);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -90,7 +90,9 @@
  private:
   CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in, const LedgerWorker& worker) const;
-  std::vector<WaitingUnit> SortedWaitingUnits(const Input& in) const;
+  std::vector<WaitingUnit> SortedWaitingUnits(
+      const Input& in,
+      const std::set<std::string>& guaranteed_jobs) const;
   void AppendWaitingUnits(const Input& in,
                           const LedgerJob& job,
                           std::vector<WaitingUnit>& out) const;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -13,6 +13,8 @@
   std::vector<MemberPlace> members;
   std::vector<TaskRef> victims;  // Must end first. Empty: none.
   double cost = 0;               // Work lost by the victims, core-seconds.
+  // Victims of the unit's own priority, which only use what a guarantee lends.
+  std::int32_t urgent_victims = 0;
 };
 
 // Restrictions of a search that may be lifted; all apply by default.
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/preemption.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace marjoramplank {
 
@@ -18,6 +19,7 @@
   const WorkerCapacity* worker = nullptr;
   std::int32_t fitting_members = 0;
   std::vector<const Victim*> victims;
+  std::int32_t urgent_victims = 0;
   double cost = 0;
 };
 
@@ -28,8 +30,13 @@
 
 bool PreemptionSearch::MayPreempt(const Rank& rank,
                                   const LedgerJob& job,
-                                  const JobStep& step) {
-  if (job.request.terms.priority <= rank.priority) {
+                                  const JobStep& step) const {
+  // Priority alone takes nothing back from a guarantee: it belongs to the
+  // account's jobs of priority 0, and what others use of it is lent.
+  const bool ranks_higher = job.request.terms.priority > rank.priority;
+  const bool takes_back =
+      rank.is_guaranteed && !guaranteed_jobs_.contains(job.request.id);
+  if (!ranks_higher && !takes_back) {
     return false;
   }
   // A long-running task does not end by itself: without a preemption, it would
@@ -43,6 +50,7 @@
   VictimList out;
   for (const auto& [task, run] : entry.runs) {
     double cost = 0;  // Of a run that is stopping already.
+    bool is_urgent = false;
     if (!run.must_stop) {
       const LedgerJob* job = ledger_.FindJob(task.job);
       if (job == nullptr || job->ended() ||
@@ -52,13 +60,16 @@
         continue;
       }
       cost = LostWork(now_, ledger_, task, run);
+      is_urgent = job->request.terms.priority <= rank.priority;
     }
-    out.victims.push_back({.task = task, .need = run.need, .cost = cost});
+    out.victims.push_back(
+        {.task = task, .need = run.need, .is_urgent = is_urgent, .cost = cost});
     out.total += run.need;
   }
   std::sort(out.victims.begin(), out.victims.end(),
             [](const Victim& a, const Victim& b) {
-              return a.cost != b.cost ? a.cost < b.cost : a.task < b.task;
+              return std::tie(a.is_urgent, a.cost, a.task) <
+                     std::tie(b.is_urgent, b.cost, b.task);
             });
   return out;
 }
@@ -126,6 +137,7 @@
                out.victims);
   for (const Victim* victim : out.victims) {
     out.cost += victim->cost;
+    out.urgent_victims += victim->is_urgent ? 1 : 0;
   }
   return out;
 }
@@ -151,7 +163,8 @@
             [&](const Option& a, const Option& b) {
               const double a_cost = a.cost / a.fitting_members;
               const double b_cost = b.cost / b.fitting_members;
-              return a_cost != b_cost ? a_cost < b_cost : id(a) < id(b);
+              return std::tie(a.urgent_victims, a_cost, id(a)) <
+                     std::tie(b.urgent_victims, b_cost, id(b));
             });
   UnitPlacement placement;
   std::int32_t index = unit.first_task.index;
@@ -173,6 +186,7 @@
       placement.victims.push_back(victim->task);
     }
     placement.cost += option.cost;
+    placement.urgent_victims += option.urgent_victims;
   }
   if (static_cast<std::int32_t>(placement.members.size()) < unit.member_count) {
     return std::nullopt;
@@ -205,7 +219,9 @@
   std::optional<UnitPlacement> best;
   for (const auto& [rack, workers] : table_.workers_by_rack()) {
     std::optional<UnitPlacement> placement = FindOnWorkers(workers, unit);
-    if (placement && (!best || placement->cost < best->cost)) {
+    if (placement &&
+        (!best || std::tie(placement->urgent_victims, placement->cost) <
+                      std::tie(best->urgent_victims, best->cost))) {
       best = std::move(placement);
     }
   }
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -3,6 +3,8 @@
 #include <compare>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,9 +16,16 @@
 // has learned of a worker's runs is used again for later units.
 class PreemptionSearch {
  public:
-  // All three must outlive the search. The runs in the ledger must not change.
-  PreemptionSearch(Time now, const Ledger& ledger, const CapacityTable& table)
-      : now_(now), ledger_(ledger), table_(table) {}
+  // All but the time must outlive the search. The runs in the ledger must not
+  // change. `guaranteed_jobs`: jobs within the guarantee of their account.
+  PreemptionSearch(Time now,
+                   const Ledger& ledger,
+                   const CapacityTable& table,
+                   const std::set<std::string>& guaranteed_jobs)
+      : now_(now),
+        ledger_(ledger),
+        table_(table),
+        guaranteed_jobs_(guaranteed_jobs) {}
 
   // Finds victims so that the unit fits. Tasks that are stopping already cost
   // nothing. Empty: the unit does not fit even with every preemptible task of a
@@ -28,9 +37,11 @@
   struct Victim {
     TaskRef task;
     Resources need;
+    bool is_urgent = false;  // Displaced only if nothing else makes room.
     double cost = 0;
   };
-  // Preemptible runs of a worker by ascending cost.
+  // Preemptible runs of a worker, those that are not urgent first, by ascending
+  // cost.
   struct VictimList {
     std::vector<Victim> victims;
     Resources total;  // Of all victims.
@@ -49,9 +60,9 @@
   const VictimList& VictimsOn(const WorkerCapacity& worker, const Rank& rank);
   VictimList ListVictims(const LedgerWorker& entry, const Rank& rank) const;
   // True if a unit of this rank may preempt tasks of the step.
-  static bool MayPreempt(const Rank& rank,
-                         const LedgerJob& job,
-                         const JobStep& step);
+  bool MayPreempt(const Rank& rank,
+                  const LedgerJob& job,
+                  const JobStep& step) const;
   Option FindOnWorker(const WorkerCapacity& worker,
                       const WaitingUnit& unit,
                       std::int32_t wanted_members);
@@ -66,6 +77,7 @@
   const Time now_;
   const Ledger& ledger_;
   const CapacityTable& table_;
+  const std::set<std::string>& guaranteed_jobs_;
   // By worker and rank of the preempting unit.
   std::map<std::pair<const WorkerCapacity*, Rank>, VictimList> victims_;
 };
--- a/tests/unit/preemption_test.cc
+++ b/tests/unit/preemption_test.cc
@@ -94,6 +94,32 @@
     CHECK(PreemptedJobs(ledger) == std::vector<std::string>{"saves"});
   }
 
+  // Guards against a guarantee that is lent to urgent jobs of other accounts.
+  SECTION("a job of priority 0 beyond its guarantee") {
+    Ledger ledger = Cluster(2);
+    JobRequest borrower =
+        Job("borrows", 0, {.need = {.accelerators = 8}, .estimate = 60s});
+    borrower.account = "without a guarantee";
+    AddRunningJob(ledger, borrower, 0, 1s);
+    const auto submit_claim = [&] {
+      ledger.Apply(kNow,
+                   JobSubmitted{.request = Job("claims", 0,
+                                               {.need = {.accelerators = 8}})});
+    };
+    SECTION("is preempted for one within it") {
+      borrower.id = "borrows_too";
+      AddRunningJob(ledger, borrower, 1, 5s);
+      submit_claim();
+      CHECK(PreemptedJobs(ledger) == std::vector<std::string>{"borrows"});
+    }
+    SECTION("only if no other task makes room") {
+      AddRunningJob(ledger, Job("costs_more", 1, {.need = {.accelerators = 8}}),
+                    1, 50s);
+      submit_claim();
+      CHECK(PreemptedJobs(ledger) == std::vector<std::string>{"costs_more"});
+    }
+  }
+
   // Guards against a guarantee that is lent to long-running tasks for good.
   SECTION("long-running tasks") {
     Ledger ledger = Cluster(1);
