A checkpoint that does not fit into a record counts as none

A worker may list a checkpoint of any length. Above 256 KiB the record of the task's end is refused for its size, so the end is never known and the task is never started again or done.

Evidence, tests/unit/malformed_answers_test.cc on the code before: malformed_answers_test.cc:41 and 42: FAILED: CHECK( reply.running[0].checkpoint.empty() ) CHECK( reply.ended[0].checkpoint.empty() )

--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -147,6 +148,9 @@
   friend bool operator==(const RunStopped&, const RunStopped&) = default;
 };
 
+// Longest checkpoint that fits into any record.
+inline constexpr std::size_t kMaxCheckpointBytes = 32 * 1024;
+
 // How a run of a task ended.
 enum class TaskOutcome {
   kDone,
--- a/tests/unit/malformed_answers_test.cc
+++ b/tests/unit/malformed_answers_test.cc
@@ -27,6 +27,21 @@
     CHECK(reply.ended.size() == 1);
     CHECK(reply.running.empty());
   }
+  // Guards against an end that the log refuses for its size, and that is
+  // therefore never known.
+  SECTION("a checkpoint that does not fit into a record counts as none") {
+    const std::string checkpoint(300'000, 'c');
+    const HoldReply reply = HoldAnsweredBy(
+        R"({"clockMs":5,"running":[["0123456789abcdef.0.0.0",1,")" +
+        checkpoint +
+        R"(",3]],"ended":[[1,"0123456789abcdef.0.0.1",1,"stopped",")" +
+        checkpoint + R"("]]})");
+    REQUIRE(reply.running.size() == 1);
+    REQUIRE(reply.ended.size() == 1);
+    CHECK(reply.running[0].checkpoint.empty());
+    CHECK(reply.ended[0].checkpoint.empty());
+    CHECK(reply.ended[0].outcome == TaskOutcome::kStopped);
+  }
   SECTION("no JSON at all") {
     for (const char* body :
          {"", "{", "[]", "null", "\xff\xfe", "{\"a\":1e999}"}) {
