--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -21,6 +21,7 @@
     Duration delay{0};
     std::string body;
     Duration delay_per_byte{0};  // Between two bytes of the body.
+    int status = 200;
   };
 
   explicit ScriptedServer(std::vector<Answer> answers)
@@ -71,8 +72,10 @@
   }
   void SendAnswer(Poco::Net::StreamSocket& peer, const Answer& answer) const {
     std::this_thread::sleep_for(answer.delay);
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                             std::to_string(answer.body.size()) + "\r\n\r\n";
+    const std::string head =
+        "HTTP/1.1 " + std::to_string(answer.status) +
+        " Answer\r\nContent-Length: " + std::to_string(answer.body.size()) +
+        "\r\n\r\n";
     peer.sendBytes(head.data(), static_cast<int>(head.size()));
     for (const char c : answer.body) {
       if (is_closing_) {
--- a/tests/unit/malformed_answers_test.cc
+++ b/tests/unit/malformed_answers_test.cc
@@ -64,6 +64,15 @@
     CHECK(result.records[1].key == "b");
     CHECK(result.records[1].value == "x");
   }
+  // Guards against an append that is repeated though its size is refused.
+  SECTION("an append that is too large is refused, now and later") {
+    const int status = GENERATE(400, 413);
+    ScriptedServer server({{.body = "{}", .status = status}});
+    LogStoreClient client(server.address());
+    const AppendResult result = client.Append({.topic = "t"}, {"r"}, {}, 5s);
+    CHECK(result.kind == AppendResult::Kind::kRefused);
+    CHECK(result.is_too_large);
+  }
   SECTION("a read that is cut off inside a record") {
     ScriptedServer server({{.body = std::string(16, '\0') + "\x7f\xff"}});
     LogStoreClient client(server.address());
