--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -96,7 +96,9 @@
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
                      const LedgerWorker& worker) const;
-  std::vector<WaitingUnit> SortedWaitingUnits(const Input& in) const;
+  std::vector<WaitingUnit> SortedWaitingUnits(
+      const Input& in,
+      const std::set<std::string>& guaranteed_jobs) const;
   void AppendWaitingUnits(const Input& in,
                           const LedgerJob& job,
                           std::vector<WaitingUnit>& out) const;
--- a/tests/unit/malformed_answers_test.cc
+++ b/tests/unit/malformed_answers_test.cc
@@ -27,6 +27,21 @@
     CHECK(reply.ended.size() == 1);
     CHECK(reply.running.empty());
   }
+  // Guards against an end that the log refuses for its size, and that is
+  // therefore never known.
+  SECTION("a checkpoint that does not fit into a record counts as none") {
+    const std::string checkpoint(300'000, 'c');
+    const HoldReply reply = HoldAnsweredBy(
+        R"({"clockMs":5,"running":[["0123456789abcdef.0.0.0",1,")" +
+        checkpoint +
+        R"(",3]],"ended":[[1,"0123456789abcdef.0.0.1",1,"stopped",")" +
+        checkpoint + R"("]]})");
+    REQUIRE(reply.running.size() == 1);
+    REQUIRE(reply.ended.size() == 1);
+    CHECK(reply.running[0].checkpoint.empty());
+    CHECK(reply.ended[0].checkpoint.empty());
+    CHECK(reply.ended[0].outcome == TaskOutcome::kStopped);
+  }
   SECTION("no JSON at all") {
     for (const char* body :
          {"", "{", "[]", "null", "\xff\xfe", "{\"a\":1e999}"}) {
@@ -49,6 +64,16 @@
     CHECK(result.records[1].key == "b");
     CHECK(result.records[1].value == "x");
   }
+  // Guards against an append that is repeated though its size is refused.
+  SECTION("an append that is too large is refused, now and later") {
+    const int status = GENERATE(400, 413);
+    ScriptedServer server(
+        {{.body = "{}", .status = std::to_string(status) + " Answer"}});
+    LogStoreClient client(server.address());
+    const AppendResult result = client.Append({.topic = "t"}, {"r"}, {}, 5s);
+    CHECK(result.kind == AppendResult::Kind::kRefused);
+    CHECK(result.is_too_large);
+  }
   SECTION("a read that is cut off inside a record") {
     ScriptedServer server({{.body = std::string(16, '\0') + "\x7f\xff"}});
     LogStoreClient client(server.address());
