Relay: an answer or a limit with odd numbers is not believed

Seen: a follower takes an answer of a relay whose age is negative, whose end is negative or the largest number, or whose offsets do not rise: it then takes an old view for a current one, or keeps records under wrong offsets for others. An append with the largest limit is not tried: its deadline overflows.

Cause: RelayClient::Read() copied the numbers; RelayServer added the limit to the present time.

Change: an answer whose offsets do not rise from the requested one to the end, or whose age or end is out of range, is a failed read, after which another route is used. A limit counts as at most a minute.

Held already: records that cannot be read are refused by the relay, and a negative or huge wait is shortened.

--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "src/jobs/record_limits.h"
 #include "src/relay/generated/relay.capnp.h"
 
 namespace marjoramplank {
@@ -38,6 +39,21 @@
   return e.getDescription().cStr();
 }
 
+// True if the offsets rise from `offset` to the end and the age is no time in
+// the future.
+bool IsConsistent(const ReadResult& read, std::int64_t offset) {
+  std::int64_t next = offset;
+  for (const LogRecordBytes& r : read.records) {
+    if (r.offset < next || r.offset >= read.end_offset) {
+      return false;
+    }
+    next = r.offset + 1;
+  }
+  return read.first_offset >= 0 && read.end_offset >= 0 &&
+         read.end_offset <= kMaxCounter && read.age >= Duration(0) &&
+         read.age <= kMaxDuration;
+}
+
 }  // namespace
 
 struct RelayClient::Connection {
@@ -102,6 +118,10 @@
            .bytes = {reinterpret_cast<const char*>(bytes.begin()),
                      bytes.size()}});
     }
+    if (!IsConsistent(out, offset)) {
+      out = {.reason = "the entry's answer has numbers out of range"};
+      return;
+    }
     out.kind = ReadResult::Kind::kOk;
   });
   KJ_IF_MAYBE (e, fault) {
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -25,6 +25,9 @@
 // more.
 constexpr Duration kMinAppendTimeout = 900ms;
 
+// Longest deadline of an append, whatever the caller requests.
+constexpr Duration kMaxAppendTimeout = 1min;
+
 constexpr auto kNotStored =
     static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
 
@@ -148,8 +151,8 @@
     auto batch_outcome =
         std::make_shared<BatchOutcome>(records.size(), kj::mv(pair.fulfiller));
     const Time deadline =
-        BootClockNow() +
-        std::max(Duration(context.getParams().getLimitMs()), kMinAppendTimeout);
+        BootClockNow() + std::clamp(Duration(context.getParams().getLimitMs()),
+                                    kMinAppendTimeout, kMaxAppendTimeout);
     for (LedgerRecord& record : records) {
       writer_.Append(
           {.record = std::move(record),
