A job whose starts were all refused waits again

Cause: a job's phase became running with the planner's decision and never went back, also if the worker refused the start. QueuedJobCount counts by that phase. Class: an intention counted as a fact.

Change: a job has begun once its agent has recorded an end of a run, an observation, or a run's loss with its worker. When none of its units runs any more and it has not begun, it is queued again; the count, the state that a GET shows and the metrics read the same phase. No new record: refusals are on the log already.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -183,6 +183,7 @@
   phase @1 : UInt8;
   order @2 : Int64;
   occurrences @3 : List(List(List(Unit)));
+  begun @4 : Bool;
 }
 
 struct LiveRun {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -198,6 +198,12 @@
   if (is_new_crash) {
     CountCrash(now, it->second, r);
   }
+  // The planner cannot know what an agent did that does not respond.
+  if (r.epoch == 0) {
+    for (const auto& [task, run] : it->second.runs) {
+      SetBegun(task.job);
+    }
+  }
   EndAllRuns(it->second);
   if (is_new_crash) {
     FailCrashingJobs(it->second);
@@ -285,9 +291,8 @@
                          .checkpoint = r.checkpoint,
                          .first_seen_at = now};
   }
-  if (job.phase == JobPhase::kQueued) {
-    job.phase = JobPhase::kRunning;
-  }
+  ++job.running_units;
+  job.phase = JobPhase::kRunning;
   return true;
 }
 
@@ -321,6 +326,7 @@
     ++worker.consecutive_failures;
     worker.last_failure_at = now;
   }
+  SetBegun(r.task.job);
   RecordMemberEnd(r.task, r.run, r.outcome, r.checkpoint, r.incarnation);
   return true;
 }
@@ -347,6 +353,7 @@
   }
   run->second.percent = r.percent;
   run->second.stalled = r.stalled;
+  SetBegun(r.task.job);
   RunUnit* unit = FindUnit(r.task);
   if (unit != nullptr && unit->run == r.run && !r.checkpoint.empty()) {
     unit->checkpoint = r.checkpoint;
@@ -363,6 +370,13 @@
   return it == unit->crashes.end() ? 0 : SumOf(it->second);
 }
 
+void Ledger::SetBegun(const std::string& job) {
+  const auto it = jobs_.find(job);
+  if (it != jobs_.end()) {
+    it->second.has_begun = true;
+  }
+}
+
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
   return const_cast<RunUnit*>(std::as_const(*this).FindUnit(task));
 }
@@ -429,6 +443,10 @@
   unit->phase = RunUnit::Phase::kWaiting;
   unit->stop_requested = false;
   unit->members.clear();
+  --job.running_units;
+  if (job.running_units == 0 && !job.has_begun) {
+    job.phase = JobPhase::kQueued;
+  }
 }
 
 void Ledger::CountFailure(LedgerJob& job,
@@ -448,6 +466,7 @@
 
 void Ledger::FinishUnit(LedgerJob& job, const TaskRef& task, RunUnit& unit) {
   unit.phase = RunUnit::Phase::kDone;
+  --job.running_units;
   unit.members.clear();
   unit.checkpoint.clear();
   StepState& step = job.occurrences[static_cast<std::size_t>(task.occurrence)]
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -12,6 +12,8 @@
 
 namespace marjoramplank {
 
+// A job runs from the decision to start a task on. It is queued again if no
+// worker is known to have begun any of its runs and none may still do so.
 enum class JobPhase { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 const char* ToString(JobPhase phase);  // "queued", "running", ...
 
@@ -52,6 +54,10 @@
 struct LedgerJob {
   JobRequest request;  // Steps and payload are cleared when the job ends.
   JobPhase phase = JobPhase::kQueued;
+  // A worker has begun a run: its agent has recorded an end of one, or has
+  // observed one. Starts that were refused or lost with the agent do not count.
+  bool has_begun = false;
+  std::int32_t running_units = 0;
   // Position among all accepted jobs, from 1.
   std::int64_t sequence_number = 0;
   // State of each step, by occurrence. Cleared when the job ends.
@@ -159,7 +165,7 @@
 
   // Jobs that have ended since this process started to replay.
   std::int64_t ended_jobs() const { return ended_count_; }
-  // Jobs of a queue that have not started a task.
+  // Jobs of a queue of which no worker has begun a task.
   std::int32_t QueuedJobCount(const std::string& queue) const;
   // True if every step that this one depends on is done.
   static bool IsReady(const LedgerJob& job,
@@ -195,6 +201,7 @@
                        TaskOutcome outcome,
                        const std::string& checkpoint,
                        const WorkerIncarnation& incarnation);
+  void SetBegun(const std::string& job);
   void CountFailure(LedgerJob& job,
                     const JobStep& step,
                     RunUnit& unit,
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -125,6 +125,7 @@
   ToWire(in.request, out.initJob());
   out.setPhase(static_cast<std::uint8_t>(in.phase));
   out.setOrder(in.sequence_number);
+  out.setBegun(in.has_begun);
   auto occurrences =
       out.initOccurrences(static_cast<unsigned>(in.occurrences.size()));
   for (unsigned k = 0; k < occurrences.size(); ++k) {
@@ -143,6 +144,7 @@
   LedgerJob out;
   out.request = FromWire(in.getJob());
   out.phase = static_cast<JobPhase>(in.getPhase());
+  out.has_begun = in.getBegun();
   out.sequence_number = in.getOrder();
   out.first_seen_at = now;
   for (const auto steps : in.getOccurrences()) {
@@ -151,8 +153,9 @@
       StepState& step = to.emplace_back();
       for (const auto unit : units) {
         step.units.push_back(ReadUnit(unit));
-        step.done_units +=
-            step.units.back().phase == RunUnit::Phase::kDone ? 1 : 0;
+        const RunUnit::Phase phase = step.units.back().phase;
+        step.done_units += phase == RunUnit::Phase::kDone ? 1 : 0;
+        out.running_units += phase == RunUnit::Phase::kRunning ? 1 : 0;
       }
     }
   }
