Property: a worker that goes down and up fails no job

The job simulation plays a worker that crashes each 1.4 s for 20 s, whatever it runs, among two to four workers. No job may fail, and each must end.

An existing check is stricter: a job that fails without failed runs needs crashes on two machines, not two crashes (MayFail). With one worker the new property cannot hold, as the simulation has gangs that need two.

--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -78,6 +78,21 @@
         RC_ASSERT(violations.empty());
       });
 
+  // Guards against jobs that are given up for a worker that goes down and up.
+  rc::prop("a worker that goes down and up fails no job", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const int workers = *rc::gen::inRange(2, 5);
+    JobSimulation simulation({.seed = seed,
+                              .workers = workers,
+                              .simulated_time = 80s,
+                              .planner_changes_per_s = 0.1,
+                              .has_flapping_worker = true});
+    const std::string violations = Join(simulation.Run());
+    RC_LOG() << "seed " << seed << ", " << workers << " workers\n"
+             << violations;
+    RC_ASSERT(violations.empty());
+  });
+
   rc::prop("guaranteed jobs start in time on fully used workers", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const int jobs = *rc::gen::inRange(12, 60);
--- a/tests/support/job_simulation.cc
+++ b/tests/support/job_simulation.cc
@@ -73,6 +73,7 @@
   for (const auto& [task, run] : w.runs) {
     task_histories_[task].running_on.erase(w.incarnation.id);
     ++task_histories_[task].crashed_workers;
+    task_histories_[task].crashed_on.insert(w.incarnation.id);
     if (run.gang) {
       GangRunOf(task, run.run).has_failed_member = true;
     }
@@ -100,13 +101,14 @@
   }
 }
 
-// A job may fail by runs of its own that failed, or by a task under which two
-// workers have crashed.
+// A job may fail by runs of its own that failed, or by a task under which
+// workers of two machines have crashed.
 bool JobSimulation::MayFail(const std::string& job) const {
-  constexpr std::int32_t kCrashes = 2;
+  constexpr std::size_t kMachines = 2;
   for (auto it = task_histories_.lower_bound({.job = job});
        it != task_histories_.end() && it->first.job == job; ++it) {
-    if (it->second.failed_runs > 0 || it->second.crashed_workers >= kCrashes) {
+    if (it->second.failed_runs > 0 ||
+        it->second.crashed_on.size() >= kMachines) {
       return true;
     }
   }
@@ -131,6 +133,15 @@
   }
 }
 
+void JobSimulation::FlapWorker() {
+  constexpr Time kFirst = 3s;
+  constexpr Time kLast = 23s;
+  constexpr Duration kPeriod = 1400ms;
+  if (now_ >= kFirst && now_ <= kLast && (now_ - kFirst) % kPeriod == 0ms) {
+    CrashWorker(*agents_.front());
+  }
+}
+
 void JobSimulation::LoseWorker(Agent& agent) {
   if (agent.worker.is_lost ||
       (lost_workers_ + 1) * 2 > static_cast<int>(agents_.size())) {
@@ -505,6 +516,9 @@
 }
 
 void JobSimulation::InjectFaults() {
+  if (options_.has_flapping_worker) {
+    FlapWorker();
+  }
   for (auto& agent : agents_) {
     const double share = ToSeconds(kTick) / static_cast<double>(agents_.size());
     if (RandomBool(options_.agent_restarts_per_s * share)) {
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -41,6 +41,8 @@
     // When every process loses power at once; a quarter of the workers never
     // return. kNever: not.
     Time power_loss_at = kNever;
+    // The first worker goes down and up by turns for 20 s, no task's doing.
+    bool has_flapping_worker = false;
     // Share of jobs that are cancelled.
     double cancelled_job_share = 0;
     // Share of runs that fail.
@@ -97,6 +99,7 @@
   bool HasStarted(const std::string& job, const JobRequest& request) const;
   void RestartAgent(Agent& agent);
   void CrashWorker(Agent& agent);
+  void FlapWorker();
   bool CrashesWorker(const TaskRef& task) const;
   void CheckCrashBudget(const TaskRef& task);
   bool MayFail(const std::string& job) const;
--- a/tests/support/job_simulation_parts.h
+++ b/tests/support/job_simulation_parts.h
@@ -73,6 +73,7 @@
   Time last_started_at{0};
   std::int32_t failed_runs = 0;
   std::int32_t crashed_workers = 0;  // That ran it at the time.
+  std::set<std::string> crashed_on;  // Their names.
   std::int32_t starts_after_third_crash = 0;
 };
 
