Ledger: time in which nobody could be heard is no silence of an agent

Cause: a worker counts as lost if its agent was not heard for the age limit of a heartbeat, the longest lease and a margin together, measured from the time at which the planner read the last heartbeat. The time of an outage counted, in which no agent had a chance to be heard.

Evidence: lost_worker_test on the code before, 3 checks failed: a worker is lost after 60 s without a log, 2 s too early after an outage of 6 s, and after four outages of 3 s.

Change: the ledger counts the time in which its process could read the log. A pause of more than 0.8 s between two records counts as 0.8 s only, as the planner alone writes each 0.4 s. DeclareLostWorkers uses that time. It covers reads and appends that fail, and a pause of the planner's own process.

Why it works: the count is never longer than the time that has passed, so no worker is lost earlier than before.

Ruled out: counting anew from the return of the log, as a log that can be read only now and then would keep a dead worker's tasks for ever.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -173,7 +173,7 @@
   for (const auto& [name, agent] : in.ledger.agents()) {
     const LedgerWorker* worker = in.ledger.FindWorker(agent.incarnation);
     if (worker == nullptr || worker->runs.empty() ||
-        in.now - agent.last_heartbeat_at <= options_.leases.LostAfter()) {
+        in.ledger.SilenceOf(agent, in.now) <= options_.leases.LostAfter()) {
       continue;
     }
     out.emplace_back(WorkerEmptied{
--- a/src/jobs/lease_timing.h
+++ b/src/jobs/lease_timing.h
@@ -10,7 +10,9 @@
 // records is on the log. Each renewal lasts for the lease duration on the
 // worker's clock. So once a planner has read no heartbeat of an agent for the
 // age limit of a heartbeat, the longest lease and a margin together, all leases
-// of that agent's worker have expired and its tasks have ended.
+// of that agent's worker have expired and its tasks have ended. Only time in
+// which the planner could have read one counts: Ledger::SilenceOf(). A worker
+// that was suspended keeps its leases for longer: its agent stops the tasks.
 struct LeaseTiming {
   // Between two heartbeats of an agent.
   Duration heartbeat_interval{800};
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -38,9 +38,19 @@
 }
 
 bool Ledger::Apply(Time now, const LedgerRecord& record) {
+  listening_time_ = ListeningTime(now);
+  last_record_at_ = std::max(last_record_at_, now);
   return std::visit([&](const auto& r) { return ApplyRecord(now, r); }, record);
 }
 
+Duration Ledger::ListeningTime(Time now) const {
+  const Duration silence = last_record_at_ == Time{0}
+                               ? Duration(0)
+                               : std::clamp(Duration(now - last_record_at_),
+                                            Duration(0), kMaxLogSilence);
+  return listening_time_ + silence;
+}
+
 const LedgerJob* Ledger::FindJob(const std::string& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -124,6 +134,7 @@
 bool Ledger::ApplyRecord(Time now, const AgentHeartbeat& r) {
   LedgerAgent& agent = agents_[r.agent];
   agent.last_heartbeat_at = now;
+  agent.listening_time = listening_time_;
   if (agent.process != r.process) {
     agent.process = r.process;
     ++agent.process_start_count;
@@ -160,6 +171,7 @@
     }
     agent.incarnation = r.incarnation;
     agent.last_heartbeat_at = now;
+    agent.listening_time = listening_time_;
   }
   LedgerWorker& worker = workers_[r.incarnation];
   worker.report = r;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -105,7 +105,8 @@
   std::string process;            // Process that sent the last heartbeat.
   // Process starts seen so far; it scopes the fencing tokens.
   std::int64_t process_start_count = 0;
-  Time last_heartbeat_at{0};  // When this process read the last heartbeat.
+  Time last_heartbeat_at{0};   // When this process read the last heartbeat.
+  Duration listening_time{0};  // Of the ledger, at the last heartbeat.
   // The worker that the agent has heard, and when, by this process's clock.
   // Not replicated, and not taken from history: see ForgetLiveness(). Empty id:
   // not known to live.
@@ -142,6 +143,12 @@
   }
   const std::set<std::string>& open_jobs() const { return open_jobs_; }
 
+  // Time since the agent's last heartbeat, without the time in which no record
+  // of anybody could be read: the agent had no chance to be heard then.
+  Duration SilenceOf(const LedgerAgent& agent, Time now) const {
+    return ListeningTime(now) - agent.listening_time;
+  }
+
   // Name of the entry that is the leader. Empty: none.
   const std::string& planner() const { return planner_; }
   std::int64_t planner_epoch() const { return planner_epoch_; }
@@ -174,6 +181,8 @@
   bool ApplyRecord(Time now, const StartRefused& r);
   bool ApplyRecord(Time now, const RunObserved& r);
 
+  // Time in which this process could read the log, from the first record on.
+  Duration ListeningTime(Time now) const;
   bool MayStart(const RunStarted& r) const;
   // Null: unknown job, occurrence, step or task.
   RunUnit* FindUnit(const TaskRef& task);
@@ -212,8 +221,16 @@
   Time planner_last_seen_at_{0};
   std::int64_t accepted_count_ = 0;
   std::int64_t ended_count_ = 0;  // Not replicated.
+  // When the last record was read, and the listening time then. Not replicated.
+  // 0: no record yet.
+  Time last_record_at_{0};
+  Duration listening_time_{0};
 };
 
+// The planner and each agent write more often than this. Without a record for
+// longer, the log cannot be read or written.
+inline constexpr Duration kMaxLogSilence{800};
+
 // A job fails once this many workers have crashed right after they had started
 // one of its tasks: the task crashes them.
 inline constexpr std::int32_t kMaxCrashedWorkers = 3;
