--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -87,10 +87,10 @@
     agentBeat : group {
       agent @2 : Text;
       process @37 : Text;
-#The worker that this process has heard.Empty id : none.
+      # The worker that this process has heard. Empty id: none.
       heard @39 : Life;
-#Age of its last sign of life.- 1 : an agent of a version that does not
-#say.
+      # Age of its last sign of life. -1: an agent of a version that does not
+      # say.
       heardAgoMs @40 : Int64 = -1;
     }
     workerReported @3 : Worker;
