Supervisor: a pause of the agent does not run its worker's leases out

Cause: an agent whose worker does not answer gives the worker's runs up once every lease must have run out, by a clock that counts a suspension. As agent and worker woke, the call from before the suspension counted as unanswered, all leases as run out, and the runs were given up while they were at work.

Change: a pause of the agent, more than 0.5 s between two steps of its own, moves the ends of the leases by its length. Why it works: agent and worker are on one machine, so the worker's clock stands still at most in such a pause; the runs are given up later, never earlier.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -212,6 +212,7 @@
                           const Ledger& ledger,
                           bool current,
                           Time as_of) {
+  contact_.OnRunning(now);
   is_ledger_current_ = current;
   if (current) {
     CountReadHeartbeats(as_of);
@@ -402,6 +403,7 @@
 }
 
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
+  contact_.OnRunning(now);
   // A listing resolves only the runs that are known when it is sent, so the
   // ledger must have been read to its end: it holds the commands of earlier
   // processes.
@@ -452,6 +454,7 @@
 }
 
 std::vector<LedgerRecord> Supervisor::TakeRecords(Time now) {
+  contact_.OnRunning(now);
   // Ends come before the report of a new incarnation, which drops the runs of
   // the one before.
   std::vector<LedgerRecord> out = std::move(pending_records_);
--- a/src/supervisor/worker_contact.cc
+++ b/src/supervisor/worker_contact.cc
@@ -64,6 +64,19 @@
   lease_in_flight_ = Time{0};
 }
 
+void WorkerContact::OnRunning(Time now) {
+  const Duration pause =
+      running_at_ == Time{0} ? Duration(0) : now - running_at_;
+  running_at_ = now;
+  if (pause <= kMaxPause) {
+    return;
+  }
+  last_lease_end_ += pause;
+  if (lease_in_flight_ != Time{0}) {
+    lease_in_flight_ += pause;
+  }
+}
+
 bool WorkerContact::IsReachable(Time now) const {
   return !IsFailing() || (now - failing_since_ < kUnreachableAfter &&
                           unsent_in_row_ < kUnsentCalls);
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -26,6 +26,9 @@
   // calls carry no lease, so that the last one expires.
   static constexpr Duration kRenewWhileSilent{1500};
 
+  // Longest time between two calls of OnRunning() that is no pause.
+  static constexpr Duration kMaxPause{500};
+
   // Listing intervals of a worker that answers, and the longest of one that
   // does not.
   static constexpr Duration kMinListingInterval{15};
@@ -54,6 +57,11 @@
   // The call was delivered, or may have been.
   void OnLeaseMaybeGranted();
 
+  // The agent's process runs. Call at least each `kMaxPause`: a longer time
+  // between two calls was a pause, in which the worker's clock, and so its
+  // leases, may have stood still too.
+  void OnRunning(Time now);
+
   // When the worker last sent anything. 0: nothing yet in this process.
   Time heard_at() const { return heard_at_; }
   bool IsReachable(Time now) const;
@@ -80,6 +88,7 @@
   Time refused_since_{0};
   int failures_in_row_ = 0;  // Since the last sign of life.
   Time last_lease_end_{0};   // No lease that was granted lasts longer.
+  Time running_at_{0};       // Last call of OnRunning(). 0: none yet.
   Time lease_in_flight_{0};  // End of the lease of the call under way. 0: none.
 };
 
--- a/tests/unit/worker_liveness_test.cc
+++ b/tests/unit/worker_liveness_test.cc
@@ -162,6 +162,20 @@
     rig.RunUntil(died_at + 5s, Answers::kYes);
     CHECK_FALSE(rig.HasEmptied());
   }
+  // Guards against runs that are given up by the clock of an agent that wakes
+  // with its worker, whose leases stood still.
+  SECTION("a suspension of agent and worker does not count") {
+    rig.now += kTick;
+    const auto hold = rig.supervisor.NextHold(rig.now);
+    REQUIRE(hold.has_value());
+    rig.now += 20s;
+    rig.supervisor.OnHoldReply(rig.now, *hold, {});
+    for (const LedgerRecord& record : rig.supervisor.TakeRecords(rig.now)) {
+      CHECK_FALSE(std::holds_alternative<WorkerEmptied>(record));
+    }
+    rig.RunUntil(rig.now + 16s, Answers::kSilent);
+    CHECK(rig.HasEmptied());
+  }
   SECTION("a worker that was only silent for 3 s keeps its task") {
     rig.RunUntil(died_at + 3s, Answers::kSilent);
     rig.RunUntil(died_at + 20s, Answers::kYes);
