Ledger: a given-away run that ends as done is the end of its task

Seen by callers: none yet; found by the job simulation with suspensions: a task was started again after a run of it that had ended as done.

Cause: a worker was suspended, its runs were given to others, and one of them ended as done before its agent could stop it. The ledger ignored that end, as the worker did not hold the run any more, but the agent acknowledged it. When the later run was lost as well, the task was started once more.

Change: such an end finishes its task, or its gang, unless the step lasts; a later run is stopped. All processes apply it alike, in the order of the log.

Ruled out: not acknowledging the end, as the worker lists it again for ever.

--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -303,7 +303,7 @@
   LedgerWorker& worker = it->second;
   worker.last_end_number = std::max(worker.last_end_number, r.end_number);
   if (!ReleaseRun(worker, r.task, r.run)) {
-    return false;
+    return FinishGivenAwayRun(r);
   }
   if (r.outcome == TaskOutcome::kDone) {
     worker.consecutive_failures = 0;
@@ -457,6 +457,21 @@
   EndJob(job, JobPhase::kCompleted);
 }
 
+bool Ledger::FinishGivenAwayRun(const TaskEnded& r) {
+  RunUnit* unit = FindUnit(r.task);
+  if (unit == nullptr || r.outcome != TaskOutcome::kDone || r.run > unit->run ||
+      unit->phase == RunUnit::Phase::kDone) {
+    return false;
+  }
+  LedgerJob& job = jobs_.at(r.task.job);
+  if (job.request.steps[static_cast<std::size_t>(r.task.step)].long_running) {
+    return false;
+  }
+  StopMembers(FirstTaskOfUnit(job, r.task), *unit);
+  FinishUnit(job, r.task, *unit);
+  return true;
+}
+
 void Ledger::StopMembers(const TaskRef& first, const RunUnit& unit) {
   for (const MemberPlace& m : unit.members) {
     const auto worker = workers_.find(m.incarnation);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -199,6 +199,9 @@
                     RunUnit& unit,
                     const WorkerIncarnation& incarnation);
   void FinishUnit(LedgerJob& job, const TaskRef& task, RunUnit& unit);
+  // A run that the worker does not hold any more has ended as done all the
+  // same: so has its task, and a later run is stopped.
+  bool FinishGivenAwayRun(const TaskEnded& r);
   void StopMembers(const TaskRef& first, const RunUnit& unit);
   void EndJob(LedgerJob& job, JobPhase phase);
   // Ends every run on the worker as if its lease had expired.
--- a/tests/unit/given_away_run_test.cc
+++ b/tests/unit/given_away_run_test.cc
@@ -215,5 +215,47 @@
   CHECK(rig.starts.empty());
 }
 
+// Guards against a start after a run that ended as done, on a worker that was
+// suspended meanwhile.
+TEST_CASE("given away: a run that ends as done all the same", "[ledger]") {
+  Rig rig("p1");
+  rig.Order(0, 1);
+  rig.GiveAway();
+  const TaskEnded done{
+      .incarnation = kIncarnation, .end_number = 1, .task = Task(0), .run = 1};
+  const RunUnit& unit = rig.ledger.FindJob("j")->occurrences[0][0].units[0];
+
+  SECTION("is the end of its task, which waits") {
+    CHECK(rig.ledger.Apply(rig.now, done));
+    CHECK(unit.phase == RunUnit::Phase::kDone);
+  }
+  SECTION("is the end of its task, whose next run is stopped") {
+    rig.Order(0, 2);
+    CHECK(rig.ledger.Apply(rig.now, done));
+    CHECK(unit.phase == RunUnit::Phase::kDone);
+    const LedgerWorker* worker = rig.ledger.FindWorker(kIncarnation);
+    REQUIRE(worker->runs.size() == 1);
+    CHECK(worker->runs.at(Task(0)).must_stop);
+    rig.ledger.Apply(rig.now, TaskEnded{.incarnation = kIncarnation,
+                                        .end_number = 2,
+                                        .task = Task(0),
+                                        .run = 2,
+                                        .outcome = TaskOutcome::kStopped});
+    CHECK(worker->runs.empty());
+    CHECK(unit.phase == RunUnit::Phase::kDone);
+  }
+  SECTION("counts once") {
+    rig.ledger.Apply(rig.now, done);
+    CHECK_FALSE(rig.ledger.Apply(rig.now, done));
+    CHECK(rig.ledger.FindJob("j")->occurrences[0][0].done_units == 1);
+  }
+  SECTION("but not if it failed") {
+    TaskEnded failed = done;
+    failed.outcome = TaskOutcome::kFailed;
+    CHECK_FALSE(rig.ledger.Apply(rig.now, failed));
+    CHECK(unit.phase == RunUnit::Phase::kWaiting);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
