--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -55,9 +55,19 @@
 }
 
 bool Ledger::Apply(Time now, const LedgerRecord& record) {
+  listening_time_ = ListeningTime(now);
+  last_record_at_ = std::max(last_record_at_, now);
   return std::visit([&](const auto& r) { return ApplyRecord(now, r); }, record);
 }
 
+Duration Ledger::ListeningTime(Time now) const {
+  const Duration silence = last_record_at_ == Time{0}
+                               ? Duration(0)
+                               : std::clamp(Duration(now - last_record_at_),
+                                            Duration(0), kMaxLogSilence);
+  return listening_time_ + silence;
+}
+
 const LedgerJob* Ledger::FindJob(const std::string& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -144,6 +154,7 @@
     return false;  // Delayed heartbeat of a process that was replaced.
   }
   agent.last_heartbeat_at = now;
+  agent.listening_time = listening_time_;
   if (agent.process != r.process) {
     agent.process_before = std::exchange(agent.process, r.process);
     agent.last_statement = 0;
@@ -194,6 +205,7 @@
     }
     agent.incarnation = r.incarnation;
     agent.last_heartbeat_at = now;
+    agent.listening_time = listening_time_;
   }
   LedgerWorker& worker = workers_[r.incarnation];
   worker.report = r;
@@ -335,7 +347,7 @@
   LedgerWorker& worker = it->second;
   worker.last_end_number = std::max(worker.last_end_number, r.end_number);
   if (!ReleaseRun(worker, r.task, r.run)) {
-    return false;
+    return FinishGivenAwayRun(r);
   }
   if (r.outcome == TaskOutcome::kDone) {
     worker.consecutive_failures = 0;
@@ -502,6 +514,21 @@
   EndJob(job, JobPhase::kCompleted);
 }
 
+bool Ledger::FinishGivenAwayRun(const TaskEnded& r) {
+  RunUnit* unit = FindUnit(r.task);
+  if (unit == nullptr || r.outcome != TaskOutcome::kDone || r.run > unit->run ||
+      unit->phase == RunUnit::Phase::kDone) {
+    return false;
+  }
+  LedgerJob& job = jobs_.at(r.task.job);
+  if (job.request.steps[static_cast<std::size_t>(r.task.step)].long_running) {
+    return false;
+  }
+  StopMembers(FirstTaskOfUnit(job, r.task), *unit);
+  FinishUnit(job, r.task, *unit);
+  return true;
+}
+
 void Ledger::StopMembers(const TaskRef& first, const RunUnit& unit) {
   for (const MemberPlace& m : unit.members) {
     const auto worker = workers_.find(m.incarnation);
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -258,6 +258,7 @@
                           const Ledger& ledger,
                           bool current,
                           Time as_of) {
+  contact_.OnRunning(now);
   is_ledger_current_ = current;
   if (current) {
     CountReadHeartbeats(as_of);
@@ -457,6 +458,7 @@
 }
 
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
+  contact_.OnRunning(now);
   if (fence_ == 0) {
     return std::nullopt;
   }
@@ -513,6 +515,7 @@
 }
 
 std::vector<LedgerRecord> Supervisor::TakeRecords(Time now) {
+  contact_.OnRunning(now);
   // Ends come before the report of a new incarnation, which drops the runs of
   // the one before.
   std::vector<LedgerRecord> out = std::move(pending_records_);
