A listing's row that names no task does not keep a worker out of work

Cause: a listing with any unreadable row decided no doubt, so the doubts of an agent's first listing stayed for ever, and no start is sent meanwhile.

Change: only a row that names a task and cannot be read otherwise may be one of the agent's runs and keeps the doubt.

--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -120,8 +120,8 @@
   std::optional<std::int64_t> clock_ms;  // Worker's clock.
   std::vector<RunningTask> running;
   std::vector<TaskEnded> ended;  // The caller fills in `incarnation`.
-  // Rows of both lists that could not be read. A task that is not listed may
-  // be in one of them.
+  // Rows of both lists that name a task and could not be read otherwise. A
+  // task that is not listed may be in one of them.
   std::int32_t unreadable_rows = 0;
 };
 
