A late heartbeat of an earlier agent process does not shut the living one out

What callers would see: a machine's worker gets no work until its agent is restarted, and its tasks may run twice: the planner counts the agent as silent while it goes on renewing leases. Found by the review of the ordering of statements, not in a run of processes.

Cause: heartbeats of the process that was replaced are not heard. When a heartbeat of a third process is stored late, the living one counts as the one that was replaced, for good.

Change: a process that was replaced and beats twice with no heartbeat of its successor in between lives, and takes its place and its last statement number back. A single delayed heartbeat is dropped as before.

Schema: AgentState 8 and 9.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -221,6 +221,8 @@
   lastStatement @5 : Int64;
   crashesInRow @6 : Int32;
   crashes @7 : List(List(Task));
+  statementBefore @8 : Int64;
+  beatsBefore @9 : Int32;
 }
 
 struct Snapshot {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -148,18 +148,33 @@
   return true;
 }
 
+bool Ledger::TakeProcess(LedgerAgent& agent, const std::string& process) {
+  if (process == agent.process) {
+    agent.beats_of_process_before = 0;
+    return true;
+  }
+  const bool was_before = !process.empty() && process == agent.process_before;
+  // One heartbeat of it may have been delayed. It lives if another follows
+  // before one of its successor, whose own heartbeat was the delayed one.
+  constexpr std::int32_t kBeatsOfLivingProcess = 2;
+  if (was_before && ++agent.beats_of_process_before < kBeatsOfLivingProcess) {
+    return false;
+  }
+  const std::int64_t statement = was_before ? agent.last_statement_before : 0;
+  agent.process_before = std::exchange(agent.process, process);
+  agent.last_statement_before = std::exchange(agent.last_statement, statement);
+  agent.beats_of_process_before = 0;
+  ++agent.process_start_count;
+  return true;
+}
+
 bool Ledger::ApplyRecord(Time now, const AgentHeartbeat& r) {
   LedgerAgent& agent = agents_[r.agent];
-  if (!r.process.empty() && r.process == agent.process_before) {
-    return false;  // Delayed heartbeat of a process that was replaced.
+  if (!TakeProcess(agent, r.process)) {
+    return false;
   }
   agent.last_heartbeat_at = now;
   agent.listening_time = listening_time_;
-  if (agent.process != r.process) {
-    agent.process_before = std::exchange(agent.process, r.process);
-    agent.last_statement = 0;
-    ++agent.process_start_count;
-  }
   const bool is_stated = r.heard_ago >= Duration(0);
   agent.heard_worker = is_stated ? r.heard_worker : agent.incarnation;
   agent.worker_heard_at = is_stated ? now - r.heard_ago : now;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -114,8 +114,12 @@
   std::string process_before;     // The one that it has replaced.
   // Process starts seen so far; it scopes the fencing tokens.
   std::int64_t process_start_count = 0;
-  // Number of the last statement of the process about its worker.
+  // Number of the last statement of the process about its worker, and of the
+  // one before.
   std::int64_t last_statement = 0;
+  std::int64_t last_statement_before = 0;
+  // Heartbeats in a row of the process before, which is said to be replaced.
+  std::int32_t beats_of_process_before = 0;
   Time last_heartbeat_at{0};   // When this process read the last heartbeat.
   Duration listening_time{0};  // Of the ledger, at the last heartbeat.
   // The worker that the agent has heard, and when, by this process's clock.
@@ -199,6 +203,9 @@
   bool ApplyRecord(Time now, const StartRefused& r);
   bool ApplyRecord(Time now, const RunObserved& r);
 
+  // Returns false if the heartbeat is a delayed one of a process that was
+  // replaced.
+  static bool TakeProcess(LedgerAgent& agent, const std::string& process);
   // Returns false if a newer statement of the agent has been read.
   static bool TakeStatement(LedgerAgent& agent, const AgentStatement& s);
   // Time in which this process could read the log, from the first record on.
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -56,6 +56,8 @@
   out.setStarts(in.process_start_count);
   out.setProcessBefore(in.process_before);
   out.setLastStatement(in.last_statement);
+  out.setStatementBefore(in.last_statement_before);
+  out.setBeatsBefore(in.beats_of_process_before);
   out.setCrashesInRow(in.consecutive_crashes);
   auto crashes = out.initCrashes(static_cast<unsigned>(in.crashes.size()));
   for (unsigned n = 0; n < crashes.size(); ++n) {
@@ -73,6 +75,8 @@
                   .process_before = FromWire(in.getProcessBefore()),
                   .process_start_count = in.getStarts(),
                   .last_statement = in.getLastStatement(),
+                  .last_statement_before = in.getStatementBefore(),
+                  .beats_of_process_before = in.getBeatsBefore(),
                   .last_heartbeat_at = now,
                   .consecutive_crashes = in.getCrashesInRow()};
   for (const auto tasks : in.getCrashes()) {
--- a/tests/unit/agent_statement_test.cc
+++ b/tests/unit/agent_statement_test.cc
@@ -89,6 +89,20 @@
     CHECK_FALSE(ledger.Apply(kNow, Report(kFirst, 7)));
     CHECK(ledger.FindWorker(kSecond)->runs.contains(kTask));
   }
+  // Guards against an agent that is shut out for good, and its tasks run twice,
+  // because a heartbeat of an earlier process was stored late.
+  SECTION("a late heartbeat of an earlier process does not last") {
+    const AgentHeartbeat living{.agent = "agent", .process = "p3"};
+    ledger.Apply(kNow, living);
+    ledger.Apply(kNow, Report(kFirst, 1, "p3"));
+    REQUIRE(
+        ledger.Apply(kNow, AgentHeartbeat{.agent = "agent", .process = "p2"}));
+    ledger.Apply(kNow, living);
+    CHECK(ledger.Apply(kNow, living));
+    CHECK(ledger.FindAgent("agent")->process == "p3");
+    CHECK_FALSE(ledger.Apply(kNow, Report(kFirst, 1, "p3")));
+    CHECK(ledger.Apply(kNow, Report(kFirst, 2, "p3")));
+  }
   SECTION("the order is in records and snapshots") {
     CHECK(DecodeRecord(EncodeRecord(Report(kFirst, 9))) ==
           LedgerRecord(Report(kFirst, 9)));
