A departure is believed of a worker that leaves, or whose process is gone

What callers would see: a deregistration that was delayed, or that another writer sends, ended the living worker of the same id: its tasks were started a second time, and its heartbeats counted as outdated until the agent's restart.

Change: a worker that has said that it leaves ends with its departure, as before. Of another one the departure is a claim: it ends with the next call that finds no process, and an answered listing drops the claim. Heartbeats after a departure are claims that the worker is asked about. The agent logs worker_departs.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -205,7 +205,8 @@
 
 void AgentNode::OnDeparture(const std::string& worker_id) {
   const std::lock_guard lock(mutex_);
-  supervisor_.OnDeparture(BootClockNow(), worker_id);
+  LogEvent("worker_departs").With("worker", worker_id);
+  supervisor_.OnDeparture(worker_id);
   Wake();
 }
 
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -37,9 +37,6 @@
     const WorkerHeartbeat& heartbeat) {
   const bool is_same_incarnation =
       worker_ && worker_->incarnation == heartbeat.incarnation;
-  if (is_same_incarnation && has_announced_departure_) {
-    return HeartbeatVerdict::kOutdated;
-  }
   if (!is_same_incarnation || has_departed_) {
     claims_.Add(now, heartbeat);
     return HeartbeatVerdict::kClaimed;
@@ -137,7 +134,7 @@
   last_recorded_end_ = 0;
   last_acked_end_ = 0;
   has_departed_ = false;
-  has_announced_departure_ = false;
+  is_departure_claimed_ = false;
   was_ledger_current_ = false;
   needs_resolution_ = true;
   resolution_listing_ = 0;
@@ -148,20 +145,23 @@
   report_sent_at_ = Time{0};
 }
 
-void Supervisor::OnDeparture(Time, const std::string& worker_id) {
+void Supervisor::OnDeparture(const std::string& worker_id) {
   if (!worker_ || worker_->incarnation.id != worker_id || has_departed_) {
     return;
   }
-  EndIncarnation(Ending::kAnnounced, "the worker has left");
+  if (worker_->leaving) {
+    EndIncarnation(Ending::kAnnounced, "the worker has left");
+  } else {
+    is_departure_claimed_ = true;
+  }
 }
 
 void Supervisor::EndIncarnation(Ending ending, const std::string& reason) {
   has_departed_ = true;
-  has_announced_departure_ = ending == Ending::kAnnounced;
   // An agent that has not heard the worker itself cannot tell a crash from a
   // power loss, which ends the agent too.
   const bool crashed = ending == Ending::kUnannounced && !worker_->leaving &&
-                       contact_.heard_at() != Time{0};
+                       !is_departure_claimed_ && contact_.heard_at() != Time{0};
   WorkerEmptied record{.incarnation = worker_->incarnation,
                        .incarnation_ended = true,
                        .crashed = crashed,
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -58,7 +58,9 @@
   // worker only if it names the incarnation that has answered calls: see
   // WorkerClaims.
   HeartbeatVerdict OnHeartbeat(Time now, const WorkerHeartbeat& heartbeat);
-  void OnDeparture(Time now, const std::string& worker_id);
+  // The worker says that it ends. Believed at once if it has said before that
+  // it leaves. Else it ends with its next call that finds no process.
+  void OnDeparture(const std::string& worker_id);
 
   // Takes over the commands in the ledger. `current` is true if the ledger was
   // read to its end; starts and stops are only returned while it is. Also
@@ -210,7 +212,7 @@
   bool was_accepting_ = false;  // The adopted worker, by the ledger.
   Time adopted_at_{0};
   bool has_departed_ = false;
-  bool has_announced_departure_ = false;
+  bool is_departure_claimed_ = false;
   // A listing must resolve starts in doubt.
   bool needs_resolution_ = false;
   // Number of the first listing of this resolution. 0: the fencing token must
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -20,7 +20,12 @@
 }  // namespace
 
 void Supervisor::CheckProcessEnded(Time now) {
-  if (!has_departed_ && contact_.HasEnded(now)) {
+  if (has_departed_) {
+    return;
+  }
+  if (is_departure_claimed_) {
+    EndIncarnation(Ending::kAnnounced, "the worker has left");
+  } else if (contact_.HasEnded(now)) {
     EndIncarnation(Ending::kUnannounced, "no process listens at its address");
   }
 }
@@ -308,6 +313,7 @@
     return;
   }
   contact_.OnAnswer(now);
+  is_departure_claimed_ = false;
   ++listing_count_;
   UpdateRunningRuns(now, reply);
   QueueListedEnds(call, reply);
--- a/tests/unit/foreign_heartbeat_test.cc
+++ b/tests/unit/foreign_heartbeat_test.cc
@@ -70,6 +70,9 @@
     if (is_silent) {
       return {};
     }
+    if (is_gone) {
+      return {.kind = HoldReply::Kind::kConnectionRefused};
+    }
     if (hold.incarnation.id != living.id) {
       return {.kind = HoldReply::Kind::kWrongIncarnation};
     }
@@ -100,6 +103,7 @@
   WorkerIncarnation living = kWorker;  // Answers at the worker's address.
   bool is_running = false;
   bool is_silent = false;
+  bool is_gone = false;
   bool asked_foreign = false;
 };
 
@@ -177,6 +181,34 @@
   }
 }
 
+// Guards against tasks that run twice, and a worker that gets none any more,
+// because a departure was stored late or comes from another writer.
+TEST_CASE("agent: its worker is said to depart", "[foreign_heartbeat]") {
+  Rig rig;
+
+  SECTION("but still answers: the task stays, and heartbeats are taken") {
+    rig.supervisor.OnDeparture("w");
+    rig.Run(3s);
+    CHECK(rig.IsTaskOnWorker());
+    CHECK(rig.supervisor.OnHeartbeat(rig.now, Heartbeat(kWorker, 9)) ==
+          Supervisor::HeartbeatVerdict::kTaken);
+  }
+  SECTION("and its process is gone: its tasks end with the next call") {
+    rig.supervisor.OnDeparture("w");
+    rig.is_gone = true;
+    rig.Run(100ms);
+    CHECK_FALSE(rig.IsTaskOnWorker());
+  }
+  SECTION("it has said that it leaves: its tasks end at once") {
+    WorkerHeartbeat leaving = Heartbeat(kWorker, 9);
+    leaving.leaving = true;
+    rig.supervisor.OnHeartbeat(rig.now, leaving);
+    rig.supervisor.OnDeparture("w");
+    rig.Step();
+    CHECK(rig.ledger.FindWorker(kWorker)->incarnation_ended);
+  }
+}
+
 // Guards against a worker that is lost to placement because one heartbeat in
 // its name said something else.
 TEST_CASE("agent: a heartbeat in the worker's name denies what is known",
