A start that waited is not sent to the worker's next incarnation

What callers would see: a worker restarts under its id while starts for it wait in the agent; the worker checks only the id, so its next incarnation runs a task that is started elsewhere at the same moment (TWICE).

Change: a start is sent only while its incarnation is the one that lives. What remains: a start that is under way at that moment, or carried out late, runs until the next listing shows it and the agent stops it.

Test: foreign_heartbeat_test, "calls that wait for the incarnation before are not sent", covers the condition (IsPresent is new, so it has no run on the code before); the agent's queue itself has no test of its own.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -295,16 +295,19 @@
     }
     const TaskCommand command = std::move(command_queue_.front());
     command_queue_.pop_front();
+    const bool is_present = std::visit(
+        [&](const auto& c) { return supervisor_.IsPresent(c.incarnation); },
+        command);
     lock.unlock();
     CommandReply reply;
     const Time sent_at = BootClockNow();
     if (const auto* start = std::get_if<StartCall>(&command)) {
       // A call that was delayed in this process, by a pause or by the calls
       // before it, is decided again.
-      reply = sent_at < start->send_before
+      reply = is_present && sent_at < start->send_before
                   ? endpoint->Start(*start, kCommandTimeout)
                   : CommandReply{.kind = CommandReply::Kind::kStale,
-                                 .reason = "delayed in the agent"};
+                                 .reason = "outdated in the agent"};
       LogCommand("start", *start, reply);
     } else {
       reply = endpoint->Stop(std::get<StopCall>(command), kCommandTimeout);
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -95,6 +95,11 @@
   };
   std::optional<HeardWorker> heard_worker(Time now) const;
   bool IsAcceptingWork(Time now) const;
+  // A call that waited to be sent is for the incarnation that still lives. An
+  // id alone, which the worker checks, may have passed to the next one.
+  bool IsPresent(const WorkerIncarnation& incarnation) const {
+    return worker_ && !has_departed_ && worker_->incarnation == incarnation;
+  }
   // Leases may be renewed while a recent heartbeat of this agent is in the log.
   bool CanRenewLeases(Time now) const {
     return now - stored_heartbeat_sent_at_ < options_.leases.max_heartbeat_age;
--- a/tests/unit/foreign_heartbeat_test.cc
+++ b/tests/unit/foreign_heartbeat_test.cc
@@ -171,6 +171,14 @@
     REQUIRE(rig.ledger.FindWorker(rig.living) != nullptr);
     CHECK(rig.ledger.FindWorker(rig.living)->report.accepting);
   }
+  SECTION("calls that wait for the incarnation before are not sent") {
+    CHECK(rig.supervisor.IsPresent(kWorker));
+    rig.living = {.id = "w", .started_at_unix_ms = kBorn + 7000};
+    rig.supervisor.OnHeartbeat(rig.now, Heartbeat(rig.living, 1));
+    rig.Run(1s);
+    CHECK_FALSE(rig.supervisor.IsPresent(kWorker));
+    CHECK(rig.supervisor.IsPresent(rig.living));
+  }
   SECTION("a late heartbeat of the incarnation before changes nothing") {
     rig.living = {.id = "w2", .started_at_unix_ms = kBorn + 7000};
     rig.supervisor.OnHeartbeat(rig.now, Heartbeat(rig.living, 1));
