An odd sequence number that was taken does not silence a worker for good

What callers would see: one heartbeat in a worker's name with a number some thousands ahead was taken, and the worker's own counted as late for hours: that it leaves, or that its capacity has changed, was not seen. Found by the review, which read the code; not seen in a run of processes.

Change: two heartbeats in a row below the known number, the second above the first, are the worker's own and are taken. A single delayed one is dropped as before.

Test: foreign_heartbeat_test, "a number that was taken, and the worker's own stay below it"; by reading, the code before returned outdated for each of them (not run on it).

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -41,7 +41,7 @@
     claims_.Add(now, heartbeat);
     return HeartbeatVerdict::kClaimed;
   }
-  if (heartbeat.sequence < worker_->sequence) {
+  if (IsOutdated(heartbeat)) {
     return HeartbeatVerdict::kOutdated;
   }
   if (IsContradiction(heartbeat)) {
@@ -58,6 +58,16 @@
   return HeartbeatVerdict::kTaken;
 }
 
+bool Supervisor::IsOutdated(const WorkerHeartbeat& heartbeat) {
+  if (heartbeat.sequence >= worker_->sequence) {
+    outdated_.reset();
+    return false;
+  }
+  const bool has_risen = outdated_ && heartbeat.sequence > outdated_->sequence;
+  outdated_ = heartbeat;
+  return !has_risen;
+}
+
 bool Supervisor::IsContradiction(const WorkerHeartbeat& heartbeat) {
   const auto agree = [](const WorkerHeartbeat& a, const WorkerHeartbeat& b) {
     return a.service == b.service && a.data_centre == b.data_centre &&
@@ -135,6 +145,7 @@
   last_acked_end_ = 0;
   has_departed_ = false;
   is_departure_claimed_ = false;
+  outdated_.reset();
   was_ledger_current_ = false;
   needs_resolution_ = true;
   resolution_listing_ = 0;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -168,6 +168,9 @@
   // True if the heartbeat denies what is known of the present incarnation, and
   // the one before did not deny it in the same way.
   bool IsContradiction(const WorkerHeartbeat& heartbeat);
+  // True if the heartbeat is older than what is known. Two that rise in a row
+  // are the worker's own, and what is known was odd.
+  bool IsOutdated(const WorkerHeartbeat& heartbeat);
   enum class Ending { kAnnounced, kUnannounced };
   // The incarnation has ended, and its tasks with it.
   void EndIncarnation(Ending ending, const std::string& reason);
@@ -207,6 +210,8 @@
   std::optional<WorkerHeartbeat> worker_;
   WorkerContact contact_;
   WorkerClaims claims_;
+  // The last heartbeat if it was older than what is known.
+  std::optional<WorkerHeartbeat> outdated_;
   // The last heartbeat if it denied what is known of the incarnation.
   std::optional<WorkerHeartbeat> contradiction_;
   // The last call asked about a claim. Listings take turns with such calls, so
--- a/tests/unit/foreign_heartbeat_test.cc
+++ b/tests/unit/foreign_heartbeat_test.cc
@@ -236,6 +236,14 @@
     CHECK(rig.supervisor.OnHeartbeat(rig.now + 1s, Heartbeat(kWorker, 3)) ==
           Supervisor::HeartbeatVerdict::kTaken);
   }
+  SECTION("a number that was taken, and the worker's own stay below it") {
+    odd.sequence = 9'000;
+    REQUIRE(rig.supervisor.OnHeartbeat(rig.now, odd) ==
+            Supervisor::HeartbeatVerdict::kTaken);
+    rig.supervisor.OnHeartbeat(rig.now + 1s, Heartbeat(kWorker, 3));
+    CHECK(rig.supervisor.OnHeartbeat(rig.now + 2s, Heartbeat(kWorker, 4)) ==
+          Supervisor::HeartbeatVerdict::kTaken);
+  }
   SECTION("twice in a row: what was taken first was wrong") {
     odd.service = "real";
     rig.supervisor.OnHeartbeat(rig.now, odd);
