Job simulation: suspended machines; design of what can be promised

Change: a worker and its agent are suspended for up to 20 s; the worker's clock does not count that time. A property asserts that 0.5 s after a worker has woken no task has two runs at work, and the other invariants.

--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -60,6 +60,18 @@
     RC_ASSERT(violations.empty());
   });
 
+  // Guards against runs that go on beside others after a suspension.
+  rc::prop("a worker that wakes keeps no run that was given to another", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    JobSimulation simulation({.seed = seed,
+                              .simulated_time = 160s,
+                              .max_task_run_time = 8s,
+                              .suspensions_per_s = 0.15});
+    const std::string violations = Join(simulation.Run());
+    RC_LOG() << "seed " << seed << "\n" << violations;
+    RC_ASSERT(violations.empty());
+  });
+
   // Guards against a task that crashes one worker after the other.
   rc::prop(
       "a task that crashes its workers is given up, its neighbours are not",
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -51,6 +51,9 @@
     double crashing_job_share = 0;
     // Rate at which an agent loses the log for 6 s.
     double log_outages_per_s = 0;
+    // Rate at which a worker is suspended with its agent, for up to 20 s. Its
+    // clock does not count that time.
+    double suspensions_per_s = 0;
     // Rate at which a data centre is closed for 6 s.
     double closures_per_s = 0;
     // Checks that guaranteed jobs start within the bound. Holds without faults.
@@ -92,6 +95,12 @@
                                          const FakeWorkerRun& run,
                                          bool lease_expired);
   void InjectFaults();
+  void Suspend(Agent& agent);
+  bool IsSuspended(const Agent& agent) const;
+  // Of workers that run the task: those that are not suspended and have not
+  // just woken.
+  std::int64_t CountWorkersAtWork(const TaskHistory& history) const;
+  void CheckOneRunAtATime();
   void UpdateClosedDataCentres();
   void CheckDataCentreOpen(const TaskRef& task,
                            const WorkerIncarnation& incarnation);
--- a/tests/support/job_simulation_checks.cc
+++ b/tests/support/job_simulation_checks.cc
@@ -12,6 +12,9 @@
 constexpr Duration kEvacuationBound = 5s;
 constexpr Duration kReclaimBound = 2700ms;
 constexpr Duration kClosureDuration = 6s;
+// From the end of a suspension to the end of runs that were given to others:
+// the log is read, the tasks are listed, and a stop takes 100 ms.
+constexpr Duration kWakeBound = 500ms;
 constexpr double kTicksPerSecond = 100;
 
 std::int64_t MaxAcceleratorsOf(const JobRequest& request) {
@@ -48,6 +51,43 @@
   }
 }
 
+void JobSimulation::Suspend(Agent& agent) {
+  constexpr int kMaxSuspensionMs = 20'000;
+  if (IsSuspended(agent) || agent.worker.is_lost) {
+    return;
+  }
+  const Duration duration(random_() % kMaxSuspensionMs);
+  agent.suspended_until = now_ + duration;
+  agent.worker.clock_lag += duration;
+  for (auto& [task, run] : agent.worker.runs) {
+    run.ends_at = run.ends_at == kNever ? kNever : run.ends_at + duration;
+    run.started_at += duration;
+  }
+}
+
+bool JobSimulation::IsSuspended(const Agent& agent) const {
+  return now_ < agent.suspended_until;
+}
+
+std::int64_t JobSimulation::CountWorkersAtWork(
+    const TaskHistory& history) const {
+  return std::count_if(agents_.begin(), agents_.end(), [&](const auto& agent) {
+    return history.running_on.contains(agent->worker.incarnation.id) &&
+           now_ >= agent->suspended_until + kWakeBound;
+  });
+}
+
+// A task whose worker is suspended may be given to another worker. The worker
+// that wakes stops it soon.
+void JobSimulation::CheckOneRunAtATime() {
+  for (auto& [task, history] : task_histories_) {
+    if (!history.reported_overlap && CountWorkersAtWork(history) > 1) {
+      history.reported_overlap = true;
+      ReportViolation("two runs of " + ToString(task) + " at the same time");
+    }
+  }
+}
+
 bool JobSimulation::HasStarted(const std::string& job,
                                const JobRequest& request) const {
   for (std::int32_t n = 0; n < request.steps[0].tasks; ++n) {
