Supervisor: a suspension makes no lease longer than the planner waits for

After a machine had been suspended for over 1 s, the leases of its worker's tasks were longer by that time, up to the platform's limit, for the rest of the incarnation. The planner's wait for a silent agent counts the lease as asked for, so a task could be given away while a lease stood.

Cause: the agent estimates the worker's clock by its own clock, which counts suspensions; the worker's does not. A reply with a clock of more than 1 s below the estimate was taken for a delayed one and ignored, so the estimate was never corrected.

Change: after a pause the worker's clock is unknown, so nothing is renewed or started until a reply has told it; the listing that asks does not wait. A listing's reply replaces the estimate. An order that waits meanwhile is refused in time, as any other.

Ruled out: an estimate by the agent's steady clock alone. A worker may be suspended without its agent, and the stand-ins' suspension (a stopped process) is not seen by that clock.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -35,6 +35,7 @@
 Supervisor::HeartbeatVerdict Supervisor::OnHeartbeat(
     Time now,
     const WorkerHeartbeat& heartbeat) {
+  OnRunning(now);
   const bool is_same_incarnation =
       worker_ && worker_->incarnation == heartbeat.incarnation;
   if (!is_same_incarnation || has_departed_) {
@@ -232,6 +233,12 @@
   }
 }
 
+void Supervisor::OnRunning(Time now) {
+  if (contact_.OnRunning(now)) {
+    worker_clock_ms_ = 0;
+  }
+}
+
 std::int64_t Supervisor::LeaseExpiryMs(Time now) const {
   return worker_clock_ms_ + (now - worker_clock_at_).count() +
          options_.leases.lease_duration.count();
@@ -269,7 +276,7 @@
                           const Ledger& ledger,
                           bool current,
                           Time as_of) {
-  contact_.OnRunning(now);
+  OnRunning(now);
   is_ledger_current_ = current;
   if (current) {
     CountReadHeartbeats(as_of);
@@ -394,6 +401,7 @@
 }
 
 std::vector<TaskCommand> Supervisor::TakeCommands(Time now) {
+  OnRunning(now);
   std::vector<TaskCommand> out;
   if (!worker_ || has_departed_ || !is_ledger_current_ || fence_ == 0) {
     return out;
@@ -421,7 +429,7 @@
       }
       continue;
     }
-    if (run.phase != Phase::kPending || worker_clock_ms_ == 0) {
+    if (run.phase != Phase::kPending) {
       continue;
     }
     if (worker_->leaving) {
@@ -440,7 +448,7 @@
       RecordRefusal(task, run, "the worker cannot be reached");
       continue;
     }
-    if (!CanRenewLeases(now) || needs_resolution_ ||
+    if (!CanRenewLeases(now) || worker_clock_ms_ == 0 || needs_resolution_ ||
         !given_away_runs_.empty()) {
       continue;
     }
@@ -469,7 +477,7 @@
 }
 
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
-  contact_.OnRunning(now);
+  OnRunning(now);
   if (fence_ == 0) {
     return std::nullopt;
   }
@@ -517,7 +525,8 @@
   constexpr Duration kStoppingHoldWait = 60ms;
   // Also waits while nothing runs: the connection ends when the worker's
   // process dies, which shows at once that it is no place for new work.
-  if (!needs_resolution_ && !has_unrecorded_ends && !contact_.IsFailing()) {
+  if (!needs_resolution_ && !has_unrecorded_ends && !contact_.IsFailing() &&
+      worker_clock_ms_ > 0) {
     call.wait = has_stopping_runs ? kStoppingHoldWait : options_.max_hold_wait;
   }
   last_hold_at_ = now;
@@ -526,7 +535,7 @@
 }
 
 std::vector<LedgerRecord> Supervisor::TakeRecords(Time now) {
-  contact_.OnRunning(now);
+  OnRunning(now);
   // Ends come before the report of a new incarnation, which drops the runs of
   // the one before.
   std::vector<LedgerRecord> out = std::move(pending_records_);
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -198,6 +198,9 @@
   bool WasNotCarriedOut(const LocalRun& run, std::int64_t listing) const;
   void ResolveInDoubtRuns(Time now);
   void ResolveStoppedRuns();
+  // The agent's process runs. After a pause the worker's clock is unknown: it
+  // may have stood still too.
+  void OnRunning(Time now);
   // Expiry of a lease that is renewed now, ms on the worker's clock.
   std::int64_t LeaseExpiryMs(Time now) const;
   void UpdateWorkerClock(Time now, std::optional<std::int64_t> clock_ms);
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -51,6 +51,7 @@
 void Supervisor::OnStartReply(Time now,
                               const StartCall& call,
                               const CommandReply& reply) {
+  OnRunning(now);
   if (!worker_ || worker_->incarnation != call.incarnation) {
     return;
   }
@@ -109,6 +110,7 @@
 void Supervisor::OnStopReply(Time now,
                              const StopCall& call,
                              const CommandReply& reply) {
+  OnRunning(now);
   if (!worker_ || worker_->incarnation != call.incarnation) {
     return;
   }
@@ -271,6 +273,7 @@
 void Supervisor::OnHoldReply(Time now,
                              const HoldCall& call,
                              const HoldReply& reply) {
+  OnRunning(now);
   if (call.verifies_incarnation) {
     OnVerificationReply(now, call, reply);
     return;
@@ -288,7 +291,12 @@
     }
     return;
   }
-  UpdateWorkerClock(now, reply.clock_ms);
+  if (reply.clock_ms) {
+    // Replaces the estimate, which is ahead if the worker's clock stood still.
+    // A reply that is late by up to the call's timeout shortens no lease.
+    worker_clock_ms_ = *reply.clock_ms;
+    worker_clock_at_ = now;
+  }
   if (reply.kind == HoldReply::Kind::kNotSent ||
       reply.kind == HoldReply::Kind::kConnectionRefused) {
     contact_.OnLeaseNotSent();
--- a/src/supervisor/worker_contact.cc
+++ b/src/supervisor/worker_contact.cc
@@ -64,17 +64,18 @@
   lease_in_flight_ = Time{0};
 }
 
-void WorkerContact::OnRunning(Time now) {
+bool WorkerContact::OnRunning(Time now) {
   const Duration pause =
       running_at_ == Time{0} ? Duration(0) : now - running_at_;
   running_at_ = now;
   if (pause <= kMaxPause) {
-    return;
+    return false;
   }
   last_lease_end_ += pause;
   if (lease_in_flight_ != Time{0}) {
     lease_in_flight_ += pause;
   }
+  return true;
 }
 
 bool WorkerContact::IsReachable(Time now) const {
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -59,8 +59,8 @@
 
   // The agent's process runs. Call at least each `kMaxPause`: a longer time
   // between two calls was a pause, in which the worker's clock, and so its
-  // leases, may have stood still too.
-  void OnRunning(Time now);
+  // leases, may have stood still too. Returns whether there was one.
+  bool OnRunning(Time now);
 
   // When the worker last sent anything. 0: nothing yet in this process.
   Time heard_at() const { return heard_at_; }
--- a/tests/unit/given_away_run_test.cc
+++ b/tests/unit/given_away_run_test.cc
@@ -65,14 +65,21 @@
                                  .data_centre = "dc",
                                  .capacity = kCapacity,
                                  .sequence = now.count(),
-                                 .clock_ms = now.count()});
+                                 .clock_ms = WorkerClock()});
+  }
+  std::int64_t WorkerClock() const { return (now - clock_lag).count(); }
+  // Agent and worker stand still.
+  void Suspend(Duration duration) {
+    now += duration;
+    clock_lag += duration;
   }
   void ReadLedger() { supervisor.OnLedger(now, ledger, /*current=*/true, now); }
   void List() {
     now += kTick;
     if (const auto hold = supervisor.NextHold(now)) {
       renewals += hold->lease_until ? 1 : 0;
-      HoldReply reply{.kind = HoldReply::Kind::kOk, .clock_ms = now.count()};
+      NoteLease(hold->lease_until.value_or(0));
+      HoldReply reply{.kind = HoldReply::Kind::kOk, .clock_ms = WorkerClock()};
       reply.running = running;
       supervisor.OnHoldReply(now, *hold, reply);
     }
@@ -80,8 +87,9 @@
   void Command() {
     for (const TaskCommand& command : supervisor.TakeCommands(now)) {
       const CommandReply done{.kind = CommandReply::Kind::kDone,
-                              .clock_ms = now.count()};
+                              .clock_ms = WorkerClock()};
       if (const auto* start = std::get_if<StartCall>(&command)) {
+        NoteLease(start->lease_until);
         starts.push_back(*start);
         running.push_back({.task = start->task, .run = start->run});
         supervisor.OnStartReply(now, *start, done);
@@ -91,6 +99,10 @@
       }
     }
   }
+  void NoteLease(std::int64_t lease_until) {
+    longest_lease =
+        std::max(longest_lease, Duration(lease_until - WorkerClock()));
+  }
   void Run(Duration duration) {
     for (const Time end = now + duration; now < end;) {
       Heartbeat();
@@ -110,6 +122,8 @@
   std::string process;
   Ledger ledger;
   Time now = 12s;
+  Duration clock_lag{0};      // Of the worker's clock, by its suspensions.
+  Duration longest_lease{0};  // On the worker's clock.
   std::vector<RunningTask> running;
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
@@ -202,6 +216,48 @@
   }
 }
 
+// Guards against leases that outlast the planner's wait for them, as the agent
+// takes the worker's clock to have run on during a suspension.
+TEST_CASE("given away: a suspension makes no lease longer", "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(2s);
+
+  SECTION("of a machine that is suspended for a time") {
+    rig.Suspend(kSuspension);
+  }
+  SECTION("of a worker that is suspended alone") {
+    rig.clock_lag += 4s;
+  }
+  rig.List();  // Its answer tells the clock.
+  rig.longest_lease = Duration(0);
+  rig.Run(2s);
+  rig.Order(1, 1);
+  rig.Run(2s);
+  CHECK(rig.starts.size() == 2);
+  CHECK(rig.longest_lease > LeaseTiming{}.lease_duration - 500ms);
+  CHECK(rig.longest_lease <= LeaseTiming{}.lease_duration + 500ms);
+}
+
+// Guards against a lease by a clock that the agent has not read since it woke.
+TEST_CASE("given away: an agent that wakes asks for the clock before it renews",
+          "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(2s);
+  rig.longest_lease = Duration(0);
+  // Shorter than what the permission to renew leases lasts.
+  rig.Suspend(1500ms);
+  rig.renewals = 0;
+  rig.List();
+  CHECK(rig.renewals == 0);
+  rig.Run(200ms);
+  CHECK(rig.renewals > 0);
+  CHECK(rig.longest_lease <= LeaseTiming{}.lease_duration + 50ms);
+}
+
 TEST_CASE("given away: a restarted agent lists before it renews",
           "[supervisor]") {
   Rig rig("p2");
