A silent worker whose machine is suspended keeps its tasks: the planner allows for a suspension

The case as it stands is held since; a harder form is not: an agent is unheard by itself (frozen, cut off, no path) for 4.5 s, then its machine is suspended for 4 s. As the machine wakes, the first runs work on beside the second ones.

Cause: the planner took a worker for lost once every lease had run out on its own clock, counted from the last heartbeat of the agent.

Change: LeaseTiming::LostAfter() has an allowance of 4.5 s for suspensions; the longest that the platform's disruptions have is 4 s. Evidence of death needs no wait, as before: refused connections, another incarnation at the agent, an agent that is back and lists the runs. The simulation gets the options that the harder check needs, and workers that list progress, as tasks of over 4 s were stopped as stalled otherwise; its other tests draw the same random numbers as before.

Price: tasks of a machine that is gone for good, without a successor, wait 4.5 s longer.

Ruled out: holding back only the second start until the first worker wakes. Nobody knows of a wake-up before the worker works again. Stopping the runs as the machine wakes: a stop takes time, in which both work; it stays as the answer to longer suspensions.

--- a/src/jobs/lease_timing.h
+++ b/src/jobs/lease_timing.h
@@ -11,8 +11,11 @@
 // worker's clock. So once a planner has read no heartbeat of an agent for the
 // age limit of a heartbeat, the longest lease and a margin together, all leases
 // of that agent's worker have expired and its tasks have ended. Only time in
-// which the planner could have read one counts: Ledger::SilenceOf(). A worker
-// that was suspended keeps its leases for longer: its agent stops the tasks.
+// which the planner could have read one counts: Ledger::SilenceOf().
+//
+// While a machine is suspended, its worker's leases stand still. Nobody else
+// can tell that from its death, so the planner waits for as long again as a
+// suspension may take. After a longer one the agent stops the tasks.
 struct LeaseTiming {
   // Between two heartbeats of an agent.
   Duration heartbeat_interval{800};
@@ -22,6 +25,8 @@
   Duration lease_duration{8000};
   // Allowance for the round trip of a call to the worker.
   Duration call_margin{500};
+  // Time for which a machine may be suspended while a lease of its worker runs.
+  Duration suspension_allowance{4500};
 
   // Longest that one renewal can last on this machine's clock: a worker's clock
   // may be 2% slow.
@@ -31,9 +36,10 @@
            lease_duration * kClockDriftPercent / (100 - kClockDriftPercent);
   }
   // Without a heartbeat for this long, the worker is lost: every lease has
-  // expired.
+  // expired, although its machine was suspended meanwhile.
   Duration LostAfter() const {
-    return max_heartbeat_age + MaxLeaseDuration() + call_margin;
+    return max_heartbeat_age + MaxLeaseDuration() + call_margin +
+           suspension_allowance;
   }
   // Without a heartbeat for this long, the worker is suspected to have failed
   // and gets no new tasks: two intervals and the round trip.
--- a/tests/support/job_simulation.h
+++ b/tests/support/job_simulation.h
@@ -47,17 +47,27 @@
     bool has_flapping_worker = false;
     // Share of jobs that are cancelled.
     double cancelled_job_share = 0;
+    // Workers list the progress of tasks; else these stall after 4 s.
+    bool lists_progress = false;
     // Share of runs that fail.
     double failed_run_share = 0;
     // Share of jobs of which one task crashes every worker that starts it.
     double crashing_job_share = 0;
     // Rate of heartbeats of another writer, which name another incarnation.
     double foreign_heartbeats_per_s = 0;
-    // Rate at which an agent loses the log for 6 s.
+    // Rate at which an agent loses the log, and for how long.
     double log_outages_per_s = 0;
-    // Rate at which a worker is suspended with its agent, for up to 20 s. Its
-    // clock does not count that time.
+    Duration log_outage{6000};
+    // Rate at which a worker is suspended with its agent, and the longest time.
+    // Its clock does not count that time.
     double suspensions_per_s = 0;
+    Duration max_suspension{20'000};
+    // Suspensions between two heartbeats of an agent that reach the log do not
+    // add up to more.
+    Duration max_suspended_unheard = kNever;
+    // From the end of a suspension to the end of runs that were given to
+    // others: the log is read, the tasks are listed, and a stop takes 100 ms.
+    Duration wake_bound{500};
     // Rate at which a data centre is closed for 6 s.
     double closures_per_s = 0;
     // Checks that guaranteed jobs start within the bound. Holds without faults.
--- a/tests/support/job_simulation_parts.h
+++ b/tests/support/job_simulation_parts.h
@@ -53,6 +53,7 @@
   Time down_until{0};
   Time log_outage_until{0};
   Time suspended_until{0};
+  Duration suspended_unheard{0};  // Since its last heartbeat in the log.
   std::int64_t sequence = 0;
 };
 
