Leases of at most 6 s, so that the planner's wait for a silent agent keeps a bound

Cause: leases were as long as the platform permits, and the planner waits for the longest lease of a silent agent.

Change: LeaseTiming::ForMaxLease() limits them to 6 s; the planner's wait is 13.6 s at most (12.7 s before the allowance).

Test: "lost worker: the wait for a silent agent has a bound"; 17.2 s with leases as long as permitted, bound 14 s.

--- a/src/jobs/lease_timing.h
+++ b/src/jobs/lease_timing.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
+
 #include "marjoramplank/time.h"
 
 namespace marjoramplank {
@@ -21,13 +24,25 @@
   Duration heartbeat_interval{800};
   // Greatest age of the newest stored heartbeat at which leases are renewed.
   Duration max_heartbeat_age{2500};
-  // Of one renewal; the platform limits it.
+  // Of one renewal; the platform limits it. See ForMaxLease().
   Duration lease_duration{8000};
   // Allowance for the round trip of a call to the worker.
   Duration call_margin{500};
   // Time for which a machine may be suspended while a lease of its worker runs.
   Duration suspension_allowance{4500};
 
+  // For a platform that permits leases of at most `max_lease`. Tasks go on for
+  // a lease without their agent, but those of a machine that is gone wait for
+  // one before they start again: leases are no longer than kMaxLeaseDuration.
+  static LeaseTiming ForMaxLease(Duration max_lease) {
+    constexpr Duration kMaxLeaseDuration{6000};
+    LeaseTiming out;
+    // Slightly below the platform's maximum, so that no lease is shortened.
+    out.lease_duration =
+        std::min(max_lease - out.call_margin, kMaxLeaseDuration);
+    return out;
+  }
+
   // Longest that one renewal can last on this machine's clock: a worker's clock
   // may be 2% slow.
   Duration MaxLeaseDuration() const {
--- a/tests/unit/lost_worker_test.cc
+++ b/tests/unit/lost_worker_test.cc
@@ -112,5 +112,19 @@
   }
 }
 
+// Guards against tasks of a machine that is gone that start again too late for
+// whoever asks for them, on a platform that permits long leases.
+TEST_CASE("lost worker: the wait for a silent agent has a bound",
+          "[dispatcher]") {
+  // Within which the platform's rules want a job to run again.
+  constexpr Duration kFinishTime = 14s;
+  for (const Duration max_lease : {4s, 6s, 10s, 30s}) {
+    const LeaseTiming leases = LeaseTiming::ForMaxLease(max_lease);
+    CAPTURE(max_lease.count());
+    CHECK(leases.MaxLeaseDuration() < max_lease);
+    CHECK(leases.LostAfter() <= kFinishTime);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
