Supervisor: an agent that wakes after too long a silence stops its runs at once

What callers saw: in a suspension for longer than the planner allows for, both runs of a task work from the moment the machine wakes until the stop of the first has taken effect.

Cause: the agent stopped runs only after it had read on the ledger that they were given away. After a suspension the way to the log may take seconds to recover, and until then the first runs go on for the rest of their leases.

Change: if the last heartbeat of this process that counts is older than the planner's wait, the agent stops all runs that the worker has or may have, before it reads anything. Without a suspension their leases have ended long before, so nothing else is stopped. A stop that was accepted is not repeated when the ledger shows the run as given away.

Price: if the log was down for everybody, the planner did not count that time, and the stopped runs had not been given away; they wait and start again.

Unit test "given away: an agent that slept for too long stops its runs at once": no stop before.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -246,17 +246,21 @@
 
 void Supervisor::OnAgentHeartbeatStored(Time sent_at, Time stored_by) {
   if (CanRenewLeases(stored_by)) {
-    stored_heartbeat_sent_at_ = std::max(stored_heartbeat_sent_at_, sent_at);
+    SetStoredHeartbeat(sent_at);
   } else {
     unread_heartbeats_.push_back({.sent_at = sent_at, .stored_by = stored_by});
   }
 }
 
+void Supervisor::SetStoredHeartbeat(Time sent_at) {
+  stored_heartbeat_sent_at_ = std::max(stored_heartbeat_sent_at_, sent_at);
+  has_stored_heartbeat_ = true;
+}
+
 void Supervisor::CountReadHeartbeats(Time as_of) {
   while (!unread_heartbeats_.empty() &&
          unread_heartbeats_.front().stored_by <= as_of) {
-    stored_heartbeat_sent_at_ =
-        std::max(stored_heartbeat_sent_at_, unread_heartbeats_.front().sent_at);
+    SetStoredHeartbeat(unread_heartbeats_.front().sent_at);
     unread_heartbeats_.pop_front();
   }
 }
@@ -357,7 +361,10 @@
   if (run.phase == Phase::kPending || run.outcome_queued) {
     return;
   }
-  given_away_runs_.try_emplace({task, run.run});
+  given_away_runs_.try_emplace(
+      {task, run.run}, GivenAwayRun{.stop_in_flight = run.stop_in_flight,
+                                    .stop_accepted = run.stop_accepted,
+                                    .last_stop_at = run.last_stop_at});
   if (run.phase != Phase::kOnWorker) {
     needs_resolution_ = true;
     resolution_listing_ = 0;
@@ -382,6 +389,36 @@
   }
 }
 
+void Supervisor::StopUnheardRuns(Time now, std::vector<TaskCommand>& out) {
+  if (!has_stored_heartbeat_ || SilenceOf(now) <= options_.leases.LostAfter()) {
+    return;
+  }
+  for (auto& [task, run] : runs_) {
+    if (out.size() >= kMaxCallsAtOnce) {
+      return;
+    }
+    if (run.phase == Phase::kOnWorker || run.phase == Phase::kInDoubt) {
+      StopRun(now, task, run, out);
+    }
+  }
+}
+
+void Supervisor::StopRun(Time now,
+                         const TaskRef& task,
+                         LocalRun& run,
+                         std::vector<TaskCommand>& out) {
+  if (run.outcome_queued || run.stop_in_flight || run.stop_accepted ||
+      now - run.last_stop_at < options_.stop_retry_interval) {
+    return;
+  }
+  run.stop_in_flight = true;
+  run.last_stop_at = now;
+  out.emplace_back(StopCall{.incarnation = worker_->incarnation,
+                            .fence = fence_,
+                            .task = task,
+                            .run = run.run});
+}
+
 bool Supervisor::HasUnrecordedEnd(const TaskRef& task, std::int32_t run) const {
   return std::any_of(unrecorded_ends_.begin(), unrecorded_ends_.end(),
                      [&](const auto& numbered) {
@@ -403,7 +440,11 @@
 std::vector<TaskCommand> Supervisor::TakeCommands(Time now) {
   OnRunning(now);
   std::vector<TaskCommand> out;
-  if (!worker_ || has_departed_ || !is_ledger_current_ || fence_ == 0) {
+  if (!worker_ || has_departed_ || fence_ == 0) {
+    return out;
+  }
+  StopUnheardRuns(now, out);
+  if (!is_ledger_current_) {
     return out;
   }
   StopGivenAwayRuns(now, out);
@@ -417,15 +458,8 @@
     if (run.stop_requested) {
       if (run.phase == Phase::kPending) {
         RecordRefusal(task, run, "stopped before it was started");
-      } else if (run.phase != Phase::kStarting && !run.stop_in_flight &&
-                 !run.stop_accepted &&
-                 now - run.last_stop_at >= options_.stop_retry_interval) {
-        run.stop_in_flight = true;
-        run.last_stop_at = now;
-        out.emplace_back(StopCall{.incarnation = worker_->incarnation,
-                                  .fence = fence_,
-                                  .task = task,
-                                  .run = run.run});
+      } else if (run.phase != Phase::kStarting) {
+        StopRun(now, task, run, out);
       }
       continue;
     }
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -94,6 +94,8 @@
     Duration age{0};
   };
   std::optional<HeardWorker> heard_worker(Time now) const;
+  // Age of the last heartbeat of this agent that counts.
+  Duration SilenceOf(Time now) const { return now - stored_heartbeat_sent_at_; }
   bool IsAcceptingWork(Time now) const;
   // A call that waited to be sent is for the incarnation that still lives. An
   // id alone, which the worker checks, may have passed to the next one.
@@ -102,7 +104,7 @@
   }
   // Leases may be renewed while a recent heartbeat of this agent is in the log.
   bool CanRenewLeases(Time now) const {
-    return now - stored_heartbeat_sent_at_ < options_.leases.max_heartbeat_age;
+    return SilenceOf(now) < options_.leases.max_heartbeat_age;
   }
 
  private:
@@ -187,10 +189,20 @@
                      const std::string& reason);
   void CountReply(Time now, CommandReply::Kind kind);
   void UpdateRun(Time now, const RunningTask& listed, LocalRun& run);
+  void SetStoredHeartbeat(Time sent_at);
   void CountReadHeartbeats(Time as_of);
   // The ledger has taken the run from the worker.
   void OnRunTaken(const TaskRef& task, const LocalRun& run);
   void StopGivenAwayRuns(Time now, std::vector<TaskCommand>& out);
+  // If the agent was not heard for so long that the planner may have given the
+  // worker's tasks away: only a suspension has kept their leases. Needs no
+  // ledger, as the way to it may take longer to recover than the agent.
+  void StopUnheardRuns(Time now, std::vector<TaskCommand>& out);
+  // Unless one is under way, was accepted or was sent lately.
+  void StopRun(Time now,
+               const TaskRef& task,
+               LocalRun& run,
+               std::vector<TaskCommand>& out);
   void UpdateRunningRuns(Time now, const HoldReply& reply);
   void QueueListedEnds(const HoldCall& call, const HoldReply& reply);
   // True if the run was not at work at the listing, and no end from before the
@@ -259,6 +271,7 @@
   Time worker_clock_at_{0};
   // Send time of the newest heartbeat in the log that counts.
   Time stored_heartbeat_sent_at_;
+  bool has_stored_heartbeat_ = false;  // Of this process.
   struct StoredHeartbeat {
     Time sent_at{0};
     Time stored_by{0};
--- a/tests/unit/given_away_run_test.cc
+++ b/tests/unit/given_away_run_test.cc
@@ -240,6 +240,41 @@
   CHECK(rig.longest_lease <= LeaseTiming{}.lease_duration + 500ms);
 }
 
+// Guards against runs that go on beside others while the agent that woke has no
+// way to the log yet.
+TEST_CASE("given away: an agent that slept for too long stops its runs at once",
+          "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(2s);
+
+  SECTION("if the planner may have given them away") {
+    rig.Suspend(kSuspension);
+    rig.Command();
+    REQUIRE(rig.stops.size() == 1);
+    CHECK(rig.stops[0].task == Task(0));
+    SECTION("once") {
+      rig.Command();
+      CHECK(rig.stops.size() == 1);
+    }
+    SECTION("and starts others after it has read the ledger") {
+      rig.Forget({.task = Task(0), .run = 1});
+      rig.GiveAway();
+      rig.Run(100ms);
+      rig.Order(1, 1);
+      rig.Run(1s);
+      CHECK(rig.starts.size() == 2);
+      CHECK(rig.stops.size() == 1);
+    }
+  }
+  SECTION("but not if the planner still waits for it") {
+    rig.Suspend(LeaseTiming{}.LostAfter() - 1s);
+    rig.Command();
+    CHECK(rig.stops.empty());
+  }
+}
+
 // Guards against a lease by a clock that the agent has not read since it woke.
 TEST_CASE("given away: an agent that wakes asks for the clock before it renews",
           "[supervisor]") {
