Log how long a lost worker's agent was silent, and an agent's pauses

The line worker_lost did not tell how long the agent had not been heard nor the bound, so a race between the planner's wait and the end of a suspension could only be computed from other lines; an agent that had stood still said nothing. No change of behaviour.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -182,10 +182,15 @@
                                     std::vector<LedgerRecord>& out) const {
   for (const auto& [name, agent] : in.ledger.agents()) {
     const LedgerWorker* worker = in.ledger.FindWorker(agent.incarnation);
+    const Duration silence = in.ledger.SilenceOf(agent, in.now);
     if (worker == nullptr || worker->runs.empty() ||
-        in.ledger.SilenceOf(agent, in.now) <= options_.leases.LostAfter()) {
+        silence <= options_.leases.LostAfter()) {
       continue;
     }
+    if (in.trace != nullptr) {
+      in.trace->lost_workers.push_back(
+          {.incarnation = agent.incarnation, .silence = silence});
+    }
     out.emplace_back(WorkerEmptied{
         .incarnation = agent.incarnation,
         .epoch = in.epoch,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -65,7 +65,12 @@
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
   };
   // What a plan considered. For logs only; no decision depends on it.
+  struct LostWorker {
+    WorkerIncarnation incarnation;
+    Duration silence{0};  // Of its agent.
+  };
   struct Trace {
+    std::vector<LostWorker> lost_workers;
     std::size_t usable_workers = 0;
     std::size_t waiting_units = 0;
     // Workers that were examined, counted once for each search.
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -264,11 +264,24 @@
   }
 }
 
+void AgentNode::LogPause(Time now, Duration pause) {
+  const std::lock_guard lock(mutex_);
+  LogEvent("agent_paused")
+      .With("pause_ms", pause.count())
+      .With("silence_ms", supervisor_.SilenceOf(now).count())
+      .With("lost_after_ms", options_.supervisor.leases.LostAfter().count());
+}
+
 void AgentNode::ReconcileLoop() {
   std::uint64_t version = 0;
+  Time last_run_at = BootClockNow();
   while (!stop_requested_) {
     version = ledger_.WaitForChange(version, kReconcileInterval);
     const Time now = BootClockNow();
+    if (now - last_run_at > WorkerContact::kMaxPause) {
+      LogPause(now, now - last_run_at);
+    }
+    last_run_at = now;
     Reconcile(now);
     SendHeartbeat(now);
   }
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -68,6 +68,8 @@
                          Time sent_at);
   void SendHeartbeat(Time now);
   void Wake();
+  // A pause of this process changes what it believes of its worker's clock.
+  void LogPause(Time now, Duration pause);
   // Logs a heartbeat that says something else than the one before.
   void LogHeartbeatChange(Time now,
                           const WorkerHeartbeat& heartbeat,
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -285,18 +285,14 @@
           .With("run", r->run)
           .With("cause", ToString(r->cause))
           .With("position", position);
-    } else if (const auto* r = std::get_if<WorkerEmptied>(&record)) {
-      LogEvent("worker_lost")
-          .With("worker", ToString(r->incarnation))
-          .With("reason", r->reason)
-          .With("position", position);
     }
   }
 }
 
 void EntryNode::LogPlan(const Dispatcher::Trace& trace,
                         Duration took,
-                        Duration ledger_age) {
+                        Duration ledger_age,
+                        std::int64_t position) {
   metrics_.Observe(Latency::kStep, ToSeconds(took));
   if (took > kSlowPlan) {
     LogEvent("plan_slow")
@@ -306,6 +302,13 @@
         .With("usable_workers", trace.usable_workers)
         .With("examined_workers", trace.examined_workers);
   }
+  for (const Dispatcher::LostWorker& lost : trace.lost_workers) {
+    LogEvent("worker_lost")
+        .With("worker", ToString(lost.incarnation))
+        .With("silence_ms", lost.silence.count())
+        .With("bound_ms", options_.dispatch.leases.LostAfter().count())
+        .With("position", position);
+  }
   for (const Dispatcher::Preemption& p : trace.preemptions) {
     LogEvent("decide_preempt")
         .With("for", ToString(p.for_unit))
@@ -356,7 +359,7 @@
         took = BootClockNow() - started_at;
         return out;
       });
-  LogPlan(trace, took, now - planned_on.as_of);
+  LogPlan(trace, took, now - planned_on.as_of, planned_on.position);
   LogReservations(trace.reservations, now);
   LogDecisions(plan, planned_on.position);
   records.insert(records.end(), plan.begin(), plan.end());
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -98,7 +98,8 @@
   void UpdateJobGauges();
   void LogPlan(const Dispatcher::Trace& trace,
                Duration took,
-               Duration ledger_age);
+               Duration ledger_age,
+               std::int64_t position);
   void LogReservations(const std::vector<Reservation>& reservations, Time now);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position);
