Relay: a call of which the log stored a part is in doubt, not refused

What callers saw (rule REFUSED): a submission could be answered with 503, "not stored", and run.

Cause: the records of one call to a relay may need several appends, of which the log stores some and refuses others. The combined outcome was the greatest code, and "not stored" was greater than "stored": the caller took all records for not stored, among them a submission that was on the log.

Change: outcomes that differ make the call's outcome unknown. The caller then tries again, which is harmless, and answers 503 only for what was never possibly stored.

--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 #include "src/jobs/ledger_codec.h"
@@ -31,8 +32,9 @@
 constexpr auto kNotStored =
     static_cast<std::uint8_t>(LedgerWriter::Outcome::kNotStored);
 
-// Combines the outcomes of the records of one append call: the worst one
-// counts. Called on the writer's thread.
+// Combines the outcomes of the records of one append call, which may have taken
+// several calls to the log. The caller learns one outcome for all of them, so
+// records that fared differently are in doubt. Called on the writer's thread.
 class BatchOutcome {
  public:
   using Fulfiller = kj::Own<kj::CrossThreadPromiseFulfiller<std::uint8_t>>;
@@ -41,17 +43,18 @@
       : remaining_(record_count), fulfiller_(kj::mv(fulfiller)) {}
 
   void Add(LedgerWriter::Outcome outcome) {
-    worst_outcome_ =
-        std::max(worst_outcome_, static_cast<std::uint8_t>(outcome));
+    outcome_ = outcome_.value_or(outcome) == outcome
+                   ? outcome
+                   : LedgerWriter::Outcome::kUnknown;
     --remaining_;
     if (remaining_ == 0) {
-      fulfiller_->fulfill(kj::mv(worst_outcome_));
+      fulfiller_->fulfill(static_cast<std::uint8_t>(*outcome_));
     }
   }
 
  private:
   std::size_t remaining_;
-  std::uint8_t worst_outcome_ = 0;
+  std::optional<LedgerWriter::Outcome> outcome_;
   Fulfiller fulfiller_;
 };
 
