--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -64,11 +64,11 @@
     TaskRef victim;                // First task of the displaced unit.
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
   };
-  // What a plan considered. For logs only; no decision depends on it.
   struct LostWorker {
     WorkerIncarnation incarnation;
     Duration silence{0};  // Of its agent.
   };
+  // What a plan considered. For logs only; no decision depends on it.
   struct Trace {
     std::vector<LostWorker> lost_workers;
     std::size_t usable_workers = 0;
