Soak: machines that are unheard, then suspended

Guards against tasks of a machine that is unheard alone and then suspended, which the mixed plans reach too seldom.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,10 +1,10 @@
 // Plays faults on the real programs and holds what clients, workers and the
 // operator see against the rules.
 //   soak --seed N [--minutes M | --seconds S] [--processes N]
-//        [--programs FOLDER] [--keep FOLDER] [--known FILE]
+//        [--programs FOLDER] [--keep FOLDER] [--known FILE] [--plan unheard]
 // Exit status: 0 the rules held, 1 one was broken, 2 the run was not possible.
-// A break that the file of known failures lists as soak.SEED.RULE is printed
-// and tolerated.
+// A break that the file of known failures lists as soak.SEED.RULE, or
+// soak.unheard.SEED.RULE, is printed and tolerated.
 
 #include <algorithm>
 #include <atomic>
@@ -112,7 +112,9 @@
   std::signal(SIGINT, OnSignal);
 
   const Shape shape = ShapeOf(options);
-  const Plan plan = DrawPlan(std::stoull(seed), shape);
+  const bool is_unheard = options.Text("plan") == "unheard";
+  const Plan plan = is_unheard ? DrawUnheardPlan(std::stoull(seed), shape)
+                               : DrawPlan(std::stoull(seed), shape);
   std::cout << "seed " << seed << ": " << shape.entries << " entries, "
             << shape.workers << " workers, " << plan.jobs.size()
             << " jobs, lists of " << plan.listed_ends << " ends, pages of "
@@ -131,8 +133,8 @@
                    .folder = folder},
                   plan);
     if (runner.Run(interrupted)) {
-      status =
-          Conclude(runner.checker(), seed, ReadWords(options.Text("known")));
+      status = Conclude(runner.checker(), (is_unheard ? "unheard." : "") + seed,
+                        ReadWords(options.Text("known")));
     } else {
       std::cout << "the run was not possible; see " << folder << "\n";
     }
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -157,6 +157,26 @@
   return out;
 }
 
+}  // namespace
+
+Job DrawLongJob(Random& random) {
+  Job out{.id = Hex(static_cast<std::uint64_t>(
+              random.Between(1, 0x0fffffffffffffff))),
+          .prefix = kQueues[1].prefix,
+          .task_cpu = 1000,
+          .max_attempts = kQueues[1].max_attempts,
+          .persistent = true};
+  const int count = static_cast<int>(random.Between(1, 4));
+  const std::int64_t length = random.Between(8000, 12000);
+  out.tasks = {count};
+  out.body = R"({"taskSpec":"0:run_ms=)" + std::to_string(length) +
+             R"(","steps":[)" + Step(count, out.task_cpu, 256, length, "") +
+             "]}";
+  return out;
+}
+
+namespace {
+
 // Jobs of many small tasks at once, while an entry is away: plans and records
 // come near their limits.
 void DrawBurst(Random& random, const Shape& shape, Plan& plan) {
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -6,6 +6,8 @@
 
 namespace marjoramplank::soak {
 
+class Random;
+
 enum class FaultKind {
   kForeignHeartbeat,
   kKill,
@@ -60,6 +62,12 @@
 };
 
 Plan DrawPlan(std::uint64_t seed, const Shape& shape);
+// One fault after another of a single kind: an agent that is not heard, whose
+// machine is suspended in the end.
+Plan DrawUnheardPlan(std::uint64_t seed, const Shape& shape);
+
+// A job of long tasks that make no checkpoints.
+Job DrawLongJob(Random& random);
 
 std::string ToText(const Fault& fault);
 
