Ledger: a model of run times and of the speed of machines, learned from runs

Callers saw urgent gangs start at once and end late, because one member was on a machine that is slower than its peers; nothing in the system knew which machines are slow, and declared run times are off by up to 90%.

Agents may now state a projected run time with an observation, and the run time with an end; every process that replays the ledger derives the same model from them: a machine's speed from runs of the same step on other machines, a step's run time from its own runs or from its queue's. Ruled out: a model outside the ledger, which a new planner would have to learn again.

No agent states these times yet and no decision uses them.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -134,6 +134,7 @@
       run @24 : Int32;
       how @25 : UInt8;
       checkpoint @26 : Text;
+      ranMs @45 : Int64;
     }
     startRefused : group {
       life @27 : Life;
@@ -149,6 +150,7 @@
       percent @34 : Int32;
       stalled @35 : Bool;
       checkpoint @36 : Text;
+      projectedMs @46 : Int64;
     }
   }
 }
@@ -225,6 +227,52 @@
   beatsBefore @9 : Int32;
 }
 
+struct MachineSample {
+  run @0 : UInt64;
+  residual @1 : Float64;
+  comparison @2 : Bool;
+}
+
+struct MachineSpeed {
+  agent @0 : Text;
+  samples @1 : List(MachineSample);
+  logSlowness @2 : Float64;
+}
+
+struct GroupSample {
+  run @0 : UInt64;
+  agent @1 : Text;
+  logTime @2 : Float64;
+}
+
+struct RunGroup {
+  key @0 : Text;
+  samples @1 : List(GroupSample);
+  queue @2 : Text;
+  logBase @3 : Float64;
+  logDeclared @4 : Float64;
+  remote @5 : Bool;
+  lastUsed @6 : Int64;
+}
+
+struct QueueSample {
+  group @0 : Text;
+  logBase @1 : Float64;
+  logDeclared @2 : Float64;
+}
+
+struct QueueTimes {
+  queue @0 : Text;
+  samples @1 : List(QueueSample);
+}
+
+struct RunTimes {
+  machines @0 : List(MachineSpeed);
+  groups @1 : List(RunGroup);
+  queues @2 : List(QueueTimes);
+  samples @3 : Int64;
+}
+
 struct Snapshot {
   position @0 : Int64;
   jobs @1 : List(JobState);
@@ -236,4 +284,5 @@
   plannerEpoch @7 : Int64;
   accepted @8 : Int64;
   entries @9 : List(EntryRelay);
+  runTimes @10 : RunTimes;
 }
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -218,6 +218,7 @@
       EndAllRuns(old->second);
       workers_.erase(agent.incarnation);
     }
+    run_times_.OnNewIncarnation(r.agent);
     agent.incarnation = r.incarnation;
     agent.last_heartbeat_at = now;
     agent.listening_time = listening_time_;
@@ -361,6 +362,9 @@
   }
   LedgerWorker& worker = it->second;
   worker.last_end_number = std::max(worker.last_end_number, r.end_number);
+  if (r.outcome == TaskOutcome::kDone) {
+    LearnRunTime(now, worker, r.task, r.run, r.run_time);
+  }
   if (!ReleaseRun(worker, r.task, r.run)) {
     return FinishGivenAwayRun(r);
   }
@@ -389,7 +393,7 @@
   return true;
 }
 
-bool Ledger::ApplyRecord(Time, const RunObserved& r) {
+bool Ledger::ApplyRecord(Time now, const RunObserved& r) {
   const auto it = workers_.find(r.incarnation);
   if (it == workers_.end()) {
     return false;
@@ -400,6 +404,7 @@
   }
   run->second.percent = r.percent;
   run->second.stalled = r.stalled;
+  LearnRunTime(now, it->second, r.task, r.run, r.projected_run_time);
   SetBegun(r.task.job);
   RunUnit* unit = FindUnit(r.task);
   if (unit != nullptr && unit->run == r.run && !r.checkpoint.empty()) {
@@ -424,6 +429,46 @@
   }
 }
 
+void Ledger::LearnRunTime(Time now,
+                          const LedgerWorker& worker,
+                          const TaskRef& task,
+                          std::int32_t run,
+                          Duration run_time) {
+  const auto live = worker.runs.find(task);
+  const RunUnit* unit = FindUnit(task);
+  if (run_time <= Duration(0) || live == worker.runs.end() ||
+      live->second.run != run || unit == nullptr || unit->run != run) {
+    return;
+  }
+  const JobRequest& request = jobs_.at(task.job).request;
+  const JobStep& step = request.steps[static_cast<std::size_t>(task.step)];
+  if (step.long_running) {
+    return;
+  }
+  run_times_.Add(now, {.task = task,
+                       .run = run,
+                       .agent = worker.report.agent,
+                       .is_remote = IsRemote(step, worker, *unit),
+                       .queue = request.terms.queue,
+                       .declared = step.estimate,
+                       .run_time = run_time});
+}
+
+bool Ledger::IsRemote(const JobStep& step,
+                      const LedgerWorker& worker,
+                      const RunUnit& unit) const {
+  if (!step.data_rack.empty() && worker.report.rack != step.data_rack) {
+    return true;
+  }
+  return step.gang && step.same_rack &&
+         std::any_of(unit.members.begin(), unit.members.end(),
+                     [&](const MemberPlace& m) {
+                       const LedgerWorker* other = FindWorker(m.incarnation);
+                       return other != nullptr &&
+                              other->report.rack != worker.report.rack;
+                     });
+}
+
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
   return const_cast<RunUnit*>(std::as_const(*this).FindUnit(task));
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -9,6 +9,7 @@
 
 #include "marjoramplank/time.h"
 #include "src/jobs/ledger_record.h"
+#include "src/run_times/run_time_model.h"
 
 namespace marjoramplank {
 
@@ -164,6 +165,7 @@
     return entries_;
   }
   const std::set<std::string>& open_jobs() const { return open_jobs_; }
+  const RunTimeModel& run_times() const { return run_times_; }
 
   // Time since the agent's last heartbeat, without the time in which no record
   // of anybody could be read: the agent had no chance to be heard then.
@@ -223,6 +225,18 @@
                        const std::string& checkpoint,
                        const WorkerIncarnation& incarnation);
   void SetBegun(const std::string& job);
+  // True if tasks of the unit run slower on the worker, because of where the
+  // step's data or the other members are.
+  bool IsRemote(const JobStep& step,
+                const LedgerWorker& worker,
+                const RunUnit& unit) const;
+  // Tells the run-time model how long the run takes. No effect if the worker
+  // does not hold it, or if the time is not stated.
+  void LearnRunTime(Time now,
+                    const LedgerWorker& worker,
+                    const TaskRef& task,
+                    std::int32_t run,
+                    Duration run_time);
   void CountFailure(LedgerJob& job,
                     const JobStep& step,
                     RunUnit& unit,
@@ -254,6 +268,7 @@
   std::map<WorkerIncarnation, LedgerWorker> workers_;
   std::map<std::string, LedgerAgent> agents_;
   std::map<std::string, EntryStarted> entries_;
+  RunTimeModel run_times_;
   std::string planner_;
   std::int64_t planner_epoch_ = 0;
   Time planner_last_seen_at_{0};
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -91,6 +91,7 @@
   w.setRun(r.run);
   w.setHow(static_cast<std::uint8_t>(r.outcome));
   w.setCheckpoint(r.checkpoint);
+  w.setRanMs(r.run_time.count());
 }
 void WriteRecord(const StartRefused& r, WireRecord::Builder out) {
   auto w = out.initStartRefused();
@@ -107,6 +108,7 @@
   w.setPercent(r.percent);
   w.setStalled(r.stalled);
   w.setCheckpoint(r.checkpoint);
+  w.setProjectedMs(r.projected_run_time.count());
 }
 
 std::optional<LedgerRecord> ReadRecord(WireRecord::Reader in) {
@@ -173,7 +175,8 @@
                        .task = FromWire(w.getTask()),
                        .run = w.getRun(),
                        .outcome = static_cast<TaskOutcome>(w.getHow()),
-                       .checkpoint = FromWire(w.getCheckpoint())};
+                       .checkpoint = FromWire(w.getCheckpoint()),
+                       .run_time = Duration(w.getRanMs())};
     }
     case WireRecord::START_REFUSED: {
       const auto w = in.getStartRefused();
@@ -189,7 +192,8 @@
                          .run = w.getRun(),
                          .percent = w.getPercent(),
                          .stalled = w.getStalled(),
-                         .checkpoint = FromWire(w.getCheckpoint())};
+                         .checkpoint = FromWire(w.getCheckpoint()),
+                         .projected_run_time = Duration(w.getProjectedMs())};
     }
   }
   return std::nullopt;
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -181,6 +181,8 @@
   std::int32_t run = 1;
   TaskOutcome outcome = TaskOutcome::kDone;
   std::string checkpoint;
+  // Of a run that did all of its work, by the agent's clock. 0: not stated.
+  Duration run_time{0};
   friend bool operator==(const TaskEnded&, const TaskEnded&) = default;
 };
 
@@ -202,6 +204,8 @@
   std::int32_t percent = 0;  // Of its work done.
   bool stalled = false;      // No progress for the stall time.
   std::string checkpoint;    // Newest.
+  // Time for all of its work at the speed of its progress. 0: not stated.
+  Duration projected_run_time{0};
   friend bool operator==(const RunObserved&, const RunObserved&) = default;
 };
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -10,6 +10,7 @@
 
 #include "src/jobs/ledger_wire.h"
 #include "src/jobs/record_limits.h"
+#include "src/jobs/run_time_snapshot.h"
 
 namespace marjoramplank {
 
@@ -294,6 +295,7 @@
   out.setPlanner(ledger.planner_);
   out.setPlannerEpoch(ledger.planner_epoch_);
   out.setAccepted(ledger.accepted_count_);
+  RunTimeSnapshot::Write(ledger.run_times_, out.initRunTimes());
   return ledger_wire::ToPackedBytes(message);
 }
 
@@ -342,6 +344,7 @@
     ledger.planner_epoch_ = in.getPlannerEpoch();
     ledger.planner_last_seen_at_ = now;
     ledger.accepted_count_ = in.getAccepted();
+    ledger.run_times_ = RunTimeSnapshot::Read(now, in.getRunTimes());
   });
   if (exception != nullptr || out.position < 0 || out.position > kMaxCounter ||
       !IsWithinLimits(PlannerElected{.epoch = out.ledger.planner_epoch_})) {
--- /dev/null
+++ b/src/run_times/run_time_model.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "marjoramplank/time.h"
+#include "src/jobs/job_request.h"
+
+namespace marjoramplank {
+
+// Learns from runs how long tasks take, and how fast each machine is compared
+// with its peers. Part of the ledger: processes that apply the same records
+// have the same model, but for the times at which they read them.
+//
+// Runs are compared within a group: the tasks of one step of one job that run
+// at the same locality. They do about the same work, so differences between
+// machines show the speed of the machines. Log scale throughout: a machine that
+// is twice as slow counts as much as one that is twice as fast.
+class RunTimeModel {
+ public:
+  // What one run tells. A later sample of the same run replaces the earlier.
+  struct Sample {
+    TaskRef task;
+    std::int32_t run = 1;
+    std::string agent;  // Of the machine.
+    // Away from the step's data, or a same-rack gang that is spread.
+    bool is_remote = false;
+    std::string queue;
+    Duration declared{0};  // 0: none.
+    Duration run_time{0};  // Measured, or projected from the progress.
+  };
+
+  // Ignored if its run time is not positive or beyond kMaxDuration.
+  void Add(Time now, const Sample& sample);
+  // The machine has a new worker, which may be of another speed: one sample
+  // remains.
+  void OnNewIncarnation(const std::string& agent);
+
+  // Run time on the machine, divided by that on the usual machine. 1 if
+  // nothing is known. Fades to 1 without new samples.
+  double Slowness(Time now, const std::string& agent) const;
+  // Runs that compared the machine with others.
+  std::size_t SampleCount(const std::string& agent) const;
+  // Age of the newest sample of the machine. 0: none.
+  Duration SampleAge(Time now, const std::string& agent) const;
+
+  // Run time of a task of the step on the usual machine near its data.
+  // `default_estimate`: if nothing is known and nothing is declared.
+  Duration Expected(const JobRequest& request,
+                    std::size_t step,
+                    Duration default_estimate) const;
+  // 90th percentile of the same.
+  Duration Pessimistic(const JobRequest& request,
+                       std::size_t step,
+                       Duration default_estimate) const;
+  // True if runs of this step, or of enough others of its queue, have been
+  // seen.
+  bool IsLearned(const JobRequest& request, std::size_t step) const;
+
+  std::size_t machine_count() const { return machines_.size(); }
+  std::size_t group_count() const { return groups_.size(); }
+
+ private:
+  friend class RunTimeSnapshot;
+
+  struct MachineSample {
+    std::uint64_t run_id = 0;
+    double residual = 0;  // log2 of its run time / that of its group.
+    // Its group had runs on other machines, too.
+    bool is_comparison = false;
+  };
+  struct Machine {
+    std::deque<MachineSample> samples;  // Oldest first.
+    double log_slowness = 0;
+    Time last_sample_at{0};  // By this process's clock. Not replicated.
+  };
+  struct GroupSample {
+    std::uint64_t run_id = 0;
+    std::string agent;
+    double log_time = 0;  // log2 of the run time in milliseconds.
+  };
+  struct Group {
+    std::deque<GroupSample> samples;  // Oldest first.
+    std::string queue;
+    double log_base = 0;      // Of a run on the usual machine.
+    double log_declared = 0;  // 0: none declared.
+    bool is_remote = false;
+    std::int64_t last_used = 0;
+  };
+  // A group's result, kept for the queue's later jobs.
+  struct QueueSample {
+    std::string group;
+    double log_base = 0;
+    double log_declared = 0;
+  };
+  struct Queue {
+    std::deque<QueueSample> samples;  // Oldest first.
+  };
+  // Median and spread of a queue's run times or corrections.
+  struct Distribution {
+    double median = 0;
+    double deviation = 0;  // Estimate of the standard deviation.
+  };
+  struct Prediction {
+    double log_time = 0;
+    double deviation = 0;
+    bool is_known = false;
+  };
+
+  static std::string GroupKey(const std::string& job,
+                              std::int32_t step,
+                              bool is_remote);
+  static Distribution Describe(std::vector<double> values);
+  void UpdateGroup(const std::string& key, Group& group);
+  void UpdateMachine(Machine& machine);
+  void UpdateQueue(const std::string& key, const Group& group);
+  void EvictGroups();
+  Prediction Predict(const JobRequest& request, std::size_t step) const;
+
+  std::map<std::string, Machine> machines_;  // By agent.
+  std::map<std::string, Group> groups_;
+  std::map<std::string, Queue> queues_;
+  std::int64_t sample_count_ = 0;
+};
+
+}  // namespace marjoramplank
