Ledger writer: a record in doubt stays in doubt when it goes back into the queue

Cause: an append without an answer marks its records as possibly stored. If a later append of the same batch is refused for its size, the records beyond the first part go back into the queue with that mark. As the writer ended, it completed the whole queue as "not stored", on the assumption that nothing in the queue had ever been sent.

Change: the queue is completed as the batch is, by the mark of each record.

Test: "a record in doubt stays in doubt in the queue"; on the code before it was told { unknown, not stored } in place of { unknown, unknown }, in 1 of 1 run. After: 6 tests of the writer and of the relay held in 3 of 3 runs.

Ruled out by reading: the writer keeps the mark over any later refusal, expiry or size limit of a batch, and a relay's answer counts as a refusal only if its own writer's records were never in doubt. Not looked at: whether the HTTP library connects again within one call.

--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -312,16 +312,17 @@
     std::this_thread::sleep_for(Jittered(retry_delay));
     retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
   }
-  // Every caller gets an outcome: nothing in the queue was ever sent.
+  // Every caller gets an outcome. Some of the queue may have been sent: see
+  // ShortenBatch().
   ExpireOverdue(batch, kNever);
-  std::vector<Pending> unsent;
+  std::vector<Pending> queued;
   {
     const std::lock_guard lock(mutex_);
-    unsent.assign(std::make_move_iterator(queue_.begin()),
+    queued.assign(std::make_move_iterator(queue_.begin()),
                   std::make_move_iterator(queue_.end()));
     queue_.clear();
   }
-  Complete(unsent, Outcome::kNotStored, BootClockNow());
+  ExpireOverdue(queued, kNever);
 }
 
 }  // namespace marjoramplank
--- a/tests/unit/ledger_writer_test.cc
+++ b/tests/unit/ledger_writer_test.cc
@@ -202,5 +202,74 @@
   CHECK(outcomes.back() == LedgerWriter::Outcome::kNotStored);
 }
 
+// Does not answer the first append, refuses the second for its size, and holds
+// the third until the writer ends.
+class SizeRefusingStore final : public LogStore {
+ public:
+  SizeRefusingStore(std::atomic<int>& calls, const std::atomic<bool>& released)
+      : calls_(calls), released_(released) {}
+
+  AppendResult Append(const LogPartition&,
+                      const std::vector<std::string>&,
+                      const ProducerStamp&,
+                      Duration) override {
+    ++calls_;
+    if (calls_ == 2) {
+      return {.kind = AppendResult::Kind::kRefused, .is_too_large = true};
+    }
+    while (calls_ == 3 && !released_) {
+      std::this_thread::sleep_for(1ms);
+    }
+    return {.kind = AppendResult::Kind::kUnknown};
+  }
+  ReadResult Read(const LogPartition&,
+                  std::int64_t,
+                  Duration,
+                  Duration) override {
+    return {};
+  }
+  LatestResult ReadLatest(const LogPartition&, Duration) override { return {}; }
+
+ private:
+  std::atomic<int>& calls_;
+  const std::atomic<bool>& released_;
+};
+
+// Guards against a submission that is answered as not stored and runs: an
+// append of it had no answer, then it went back into the queue.
+TEST_CASE("ledger writer: a record in doubt stays in doubt in the queue",
+          "[ledger_writer]") {
+  constexpr std::size_t kBytes = 40'000;  // Two are over the least limit.
+  Metrics metrics;
+  std::atomic<int> calls{0};
+  std::atomic<bool> released{false};
+  std::vector<LedgerWriter::Outcome> outcomes;
+  std::thread releasing;
+  {
+    LedgerWriter writer({.partition = {.topic = "t"}, .heartbeat_linger = 50ms},
+                        std::make_unique<SizeRefusingStore>(calls, released),
+                        metrics);
+    // A heartbeat waits for the records that follow it.
+    writer.Append({.record = AgentHeartbeat{.agent = std::string(kBytes, 'a')},
+                   .on_done = [&](LedgerWriter::Outcome outcome, Time) {
+                     outcomes.push_back(outcome);
+                   }});
+    writer.Append({.record = AgentHeartbeat{.agent = std::string(kBytes, 'b')},
+                   .on_done = [&](LedgerWriter::Outcome outcome, Time) {
+                     outcomes.push_back(outcome);
+                   }});
+    while (calls < 3) {
+      std::this_thread::sleep_for(1ms);
+    }
+    releasing = std::thread([&] {
+      std::this_thread::sleep_for(100ms);  // Until the writer is ending.
+      released = true;
+    });
+  }
+  releasing.join();
+  CHECK(outcomes == std::vector{LedgerWriter::Outcome::kUnknown,
+                                LedgerWriter::Outcome::kUnknown});
+}
+
 }  // namespace
 }  // namespace marjoramplank
