--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -184,12 +184,26 @@
   workers @1 : Int32;
 }
 
+# Equal units in a row.
+struct UnitRun {
+  unit @0 : Unit;
+  count @1 : Int32;
+}
+
+# Equal occurrences in a row; the units of each step.
+struct OccurrenceRun {
+  steps @0 : List(List(UnitRun));
+  count @1 : Int32;
+}
+
 struct JobState {
   job @0 : Job;
   phase @1 : UInt8;
   order @2 : Int64;
+  # Of snapshots of an earlier version.
   occurrences @3 : List(List(List(Unit)));
   begun @4 : Bool;
+  occurrenceRuns @5 : List(OccurrenceRun);
 }
 
 struct LiveRun {
@@ -203,6 +217,10 @@
   percent @7 : Int32;
   stalled @8 : Bool;
   agentProcess @9 : Text;
+  # The payload is the one of the job.
+  hasPayloadOfJob @10 : Bool;
+  # Position from 1 in the snapshot's list of payloads. 0: not there.
+  payloadNumber @11 : Int32;
 }
 
 struct WorkerState {
@@ -285,4 +303,10 @@
   accepted @8 : Int64;
   entries @9 : List(EntryRelay);
   runTimes @10 : RunTimes;
+  # In place of `position`, which is -1: an earlier version, which would take
+  # the jobs for malformed and drop them, then refuses the whole snapshot.
+  # Negative: a snapshot of an earlier version.
+  compactPosition @11 : Int64 = -1;
+  # Of runs whose job has another payload, or none any more.
+  payloads @12 : List(Text);
 }
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -5,9 +5,13 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include <algorithm>
 #include <limits>
+#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
 
+#include "src/jobs/job_snapshot.h"
 #include "src/jobs/ledger_wire.h"
 #include "src/jobs/record_limits.h"
 #include "src/jobs/run_time_snapshot.h"
@@ -19,34 +23,8 @@
 using ledger_wire::FromWire;
 using ledger_wire::ToWire;
 
-using CrashesByAgent = std::map<std::string, std::int32_t>;
-
-void WriteCrashes(std::int32_t index,
-                  const CrashesByAgent& in,
-                  ledger_wire::TaskCrashes::Builder out) {
-  auto agents = out.initAgents(static_cast<unsigned>(in.size()));
-  std::int32_t sum = 0;
-  unsigned n = 0;
-  for (const auto& [agent, workers] : in) {
-    agents[n].setAgent(agent);
-    agents[n++].setWorkers(workers);
-    sum += workers;
-  }
-  out.setIndex(index);
-  out.setWorkers(sum);
-}
-
-CrashesByAgent ReadCrashes(ledger_wire::TaskCrashes::Reader in) {
-  CrashesByAgent out;
-  for (const auto entry : in.getAgents()) {
-    out[FromWire(entry.getAgent())] = entry.getWorkers();
-  }
-  // An earlier version does not name the agents.
-  if (out.empty() && in.getWorkers() > 0) {
-    out[""] = in.getWorkers();
-  }
-  return out;
-}
+// The position for readers that do not know the compact form.
+constexpr std::int64_t kCompact = -1;
 
 void WriteAgent(const std::string& name,
                 const LedgerAgent& in,
@@ -89,114 +67,70 @@
   return out;
 }
 
-void WriteUnit(const RunUnit& in, ledger_wire::Unit::Builder out) {
-  out.setPhase(static_cast<std::uint8_t>(in.phase));
-  out.setFailedInRun(in.failure_counted);
-  out.setStopRequested(in.stop_requested);
-  out.setRun(in.run);
-  out.setFailures(in.failures);
-  out.setUnsettled(in.unfinished_members);
-  out.setCheckpoint(in.checkpoint);
-  auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
-  for (unsigned i = 0; i < members.size(); ++i) {
-    ToWire(in.members[i], members[i]);
-  }
-  auto failed =
-      out.initFailedOn(static_cast<unsigned>(in.failed_on_workers.size()));
-  unsigned n = 0;
-  for (const WorkerIncarnation& incarnation : in.failed_on_workers) {
-    ToWire(incarnation, failed[n++]);
-  }
-  auto crashes = out.initCrashes(static_cast<unsigned>(in.crashes.size()));
-  n = 0;
-  for (const auto& [index, by_agent] : in.crashes) {
-    WriteCrashes(index, by_agent, crashes[n++]);
-  }
-}
+// Payloads of runs, each written once. The runs of a job share one.
+class PayloadWriter {
+ public:
+  explicit PayloadWriter(const Ledger& ledger) : ledger_(ledger) {}
 
-RunUnit ReadUnit(ledger_wire::Unit::Reader in) {
-  RunUnit out{.phase = static_cast<RunUnit::Phase>(in.getPhase()),
-              .failure_counted = in.getFailedInRun(),
-              .stop_requested = in.getStopRequested(),
-              .run = in.getRun(),
-              .failures = in.getFailures(),
-              .unfinished_members = in.getUnsettled(),
-              .checkpoint = FromWire(in.getCheckpoint()),
-              .members = FromWire(in.getMembers())};
-  for (const auto incarnation : in.getFailedOn()) {
-    out.failed_on_workers.insert(FromWire(incarnation));
-  }
-  for (const auto crash : in.getCrashes()) {
-    out.crashes[crash.getIndex()] = ReadCrashes(crash);
-  }
-  return out;
-}
-
-void WriteJob(const LedgerJob& in, ledger_wire::JobState::Builder out) {
-  ToWire(in.request, out.initJob());
-  out.setPhase(static_cast<std::uint8_t>(in.phase));
-  out.setOrder(in.sequence_number);
-  out.setBegun(in.has_begun);
-  auto occurrences =
-      out.initOccurrences(static_cast<unsigned>(in.occurrences.size()));
-  for (unsigned k = 0; k < occurrences.size(); ++k) {
-    const std::vector<StepState>& steps = in.occurrences[k];
-    auto to = occurrences.init(k, static_cast<unsigned>(steps.size()));
-    for (unsigned s = 0; s < to.size(); ++s) {
-      auto units = to.init(s, static_cast<unsigned>(steps[s].units.size()));
-      for (unsigned u = 0; u < units.size(); ++u) {
-        WriteUnit(steps[s].units[u], units[u]);
+  void Write(const TaskRef& task,
+             const LiveRun& in,
+             ledger_wire::LiveRun::Builder out) {
+    const LedgerJob* job = ledger_.FindJob(task.job);
+    if (job != nullptr && job->request.payload == in.payload) {
+      out.setHasPayloadOfJob(true);
+    } else if (!in.payload.empty()) {
+      const auto number = static_cast<std::int32_t>(numbers_.size()) + 1;
+      const auto [it, is_new] = numbers_.try_emplace(in.payload, number);
+      if (is_new) {
+        payloads_.push_back(in.payload);
       }
+      out.setPayloadNumber(it->second);
     }
   }
-}
 
-LedgerJob ReadJob(Time now, ledger_wire::JobState::Reader in) {
-  LedgerJob out;
-  out.request = FromWire(in.getJob());
-  out.phase = static_cast<JobPhase>(in.getPhase());
-  out.has_begun = in.getBegun();
-  out.sequence_number = in.getOrder();
-  out.first_seen_at = now;
-  for (const auto steps : in.getOccurrences()) {
-    std::vector<StepState>& to = out.occurrences.emplace_back();
-    for (const auto units : steps) {
-      StepState& step = to.emplace_back();
-      for (const auto unit : units) {
-        step.units.push_back(ReadUnit(unit));
-        const RunUnit::Phase phase = step.units.back().phase;
-        step.done_units += phase == RunUnit::Phase::kDone ? 1 : 0;
-        out.running_units += phase == RunUnit::Phase::kRunning ? 1 : 0;
-      }
+  const std::vector<std::string_view>& payloads() const { return payloads_; }
+
+ private:
+  const Ledger& ledger_;
+  std::unordered_map<std::string_view, std::int32_t> numbers_;
+  std::vector<std::string_view> payloads_;
+};
+
+// Finds the payloads of the runs of a snapshot.
+class PayloadReader {
+ public:
+  // `left_out` holds the jobs that are not in the ledger.
+  PayloadReader(const Ledger& ledger,
+                const std::map<std::string, LedgerJob>& left_out,
+                capnp::List<capnp::Text>::Reader payloads)
+      : ledger_(ledger), left_out_(left_out), payloads_(payloads) {}
+
+  std::string Read(ledger_wire::LiveRun::Reader in) const {
+    const std::int32_t number = in.getPayloadNumber();
+    if (number > 0 && number <= static_cast<std::int64_t>(payloads_.size())) {
+      return FromWire(payloads_[static_cast<unsigned>(number) - 1]);
     }
+    return in.getHasPayloadOfJob() ? PayloadOf(FromWire(in.getTask().getJob()))
+                                   : FromWire(in.getPayload());
   }
-  return out;
-}
 
-// True if the job can be scheduled: its units are those of its steps.
-bool IsSound(const LedgerJob& job) {
-  if (job.phase < JobPhase::kQueued || job.phase > JobPhase::kCancelled) {
-    return false;
-  }
-  if (job.ended()) {
-    return job.occurrences.empty();
+ private:
+  std::string PayloadOf(const std::string& id) const {
+    if (const LedgerJob* job = ledger_.FindJob(id)) {
+      return job->request.payload;
+    }
+    const auto it = left_out_.find(id);
+    return it == left_out_.end() ? "" : it->second.request.payload;
   }
-  const std::vector<JobStep>& steps = job.request.steps;
-  const auto has_units_of_steps = [&](const std::vector<StepState>& states) {
-    return std::equal(
-        states.begin(), states.end(), steps.begin(), steps.end(),
-        [](const StepState& state, const JobStep& step) {
-          return state.units.size() ==
-                 static_cast<std::size_t>(step.gang ? 1 : step.tasks);
-        });
-  };
-  return CheckJobRequest(job.request).empty() && !job.occurrences.empty() &&
-         std::all_of(job.occurrences.begin(), job.occurrences.end(),
-                     has_units_of_steps);
-}
+
+  const Ledger& ledger_;
+  const std::map<std::string, LedgerJob>& left_out_;
+  const capnp::List<capnp::Text>::Reader payloads_;
+};
 
 void WriteRun(const TaskRef& task,
               const LiveRun& in,
+              PayloadWriter& payloads,
               ledger_wire::LiveRun::Builder out) {
   ToWire(task, out.initTask());
   out.setRun(in.run);
@@ -204,13 +138,14 @@
   out.setStop(in.must_stop);
   out.setGang(in.gang);
   out.setAgentProcess(in.agent_process);
-  out.setPayload(in.payload);
+  payloads.Write(task, in, out);
   out.setCheckpoint(in.checkpoint);
   out.setPercent(in.percent);
   out.setStalled(in.stalled);
 }
 
 void WriteWorker(const LedgerWorker& in,
+                 PayloadWriter& payloads,
                  ledger_wire::WorkerState::Builder out) {
   ToWire(in.report, out.initReport());
   out.setGone(in.incarnation_ended);
@@ -220,11 +155,13 @@
   auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
   unsigned n = 0;
   for (const auto& [task, run] : in.runs) {
-    WriteRun(task, run, runs[n++]);
+    WriteRun(task, run, payloads, runs[n++]);
   }
 }
 
-LedgerWorker ReadWorker(Time now, ledger_wire::WorkerState::Reader in) {
+LedgerWorker ReadWorker(Time now,
+                        const PayloadReader& payloads,
+                        ledger_wire::WorkerState::Reader in) {
   LedgerWorker out;
   out.report = FromWire(in.getReport());
   if (!IsWithinLimits(out.report)) {
@@ -241,7 +178,7 @@
                 .must_stop = r.getStop(),
                 .gang = r.getGang(),
                 .agent_process = FromWire(r.getAgentProcess()),
-                .payload = FromWire(r.getPayload()),
+                .payload = payloads.Read(r),
                 .checkpoint = FromWire(r.getCheckpoint()),
                 .percent = r.getPercent(),
                 .stalled = r.getStalled(),
@@ -255,8 +192,8 @@
 template <typename Texts, typename Builder>
 void WriteTexts(const Texts& in, Builder out) {
   unsigned n = 0;
-  for (const std::string& text : in) {
-    out.set(n++, text);
+  for (const std::string_view text : in) {
+    out.set(n++, {text.data(), text.size()});
   }
 }
 
@@ -265,11 +202,12 @@
 std::string LedgerSnapshot::Save(const Ledger& ledger, std::int64_t position) {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<ledger_wire::Snapshot>();
-  out.setPosition(position);
+  out.setPosition(kCompact);
+  out.setCompactPosition(position);
   auto jobs = out.initJobs(static_cast<unsigned>(ledger.jobs_.size()));
   unsigned n = 0;
   for (const auto& [id, job] : ledger.jobs_) {
-    WriteJob(job, jobs[n++]);
+    JobSnapshot::Write(job, jobs[n++]);
   }
   WriteTexts(
       ledger.early_cancels_,
@@ -277,11 +215,15 @@
   WriteTexts(
       ledger.ended_order_,
       out.initEndedOrder(static_cast<unsigned>(ledger.ended_order_.size())));
+  PayloadWriter payloads(ledger);
   auto workers = out.initWorkers(static_cast<unsigned>(ledger.workers_.size()));
   n = 0;
   for (const auto& [incarnation, worker] : ledger.workers_) {
-    WriteWorker(worker, workers[n++]);
+    WriteWorker(worker, payloads, workers[n++]);
   }
+  WriteTexts(
+      payloads.payloads(),
+      out.initPayloads(static_cast<unsigned>(payloads.payloads().size())));
   auto agents = out.initAgents(static_cast<unsigned>(ledger.agents_.size()));
   n = 0;
   for (const auto& [name, agent] : ledger.agents_) {
@@ -310,14 +252,17 @@
     options.traversalLimitInWords = std::numeric_limits<std::uint64_t>::max();
     capnp::PackedMessageReader message(input, options);
     const auto in = message.getRoot<ledger_wire::Snapshot>();
-    out.position = in.getPosition();
+    out.position = in.getCompactPosition() >= 0 ? in.getCompactPosition()
+                                                : in.getPosition();
     Ledger& ledger = out.ledger;
+    std::map<std::string, LedgerJob> left_out;
     for (const auto job : in.getJobs()) {
-      LedgerJob entry = ReadJob(now, job);
-      if (!IsSound(entry)) {
+      LedgerJob entry = JobSnapshot::Read(now, job);
+      const std::string id = entry.request.id;
+      if (!JobSnapshot::IsSound(entry)) {
+        left_out.emplace(id, std::move(entry));
         continue;
       }
-      const std::string id = entry.request.id;
       if (!entry.ended()) {
         ledger.open_jobs_.insert(id);
       }
@@ -329,8 +274,9 @@
     for (const auto id : in.getEndedOrder()) {
       ledger.ended_order_.push_back(FromWire(id));
     }
+    const PayloadReader payloads(ledger, left_out, in.getPayloads());
     for (const auto worker : in.getWorkers()) {
-      LedgerWorker entry = ReadWorker(now, worker);
+      LedgerWorker entry = ReadWorker(now, payloads, worker);
       ledger.workers_.emplace(entry.report.incarnation, std::move(entry));
     }
     for (const auto agent : in.getAgents()) {
