Dispatch: learned run times and machine speed classes in ordering and placement

Jobs were ordered, and reservations computed, by declared run times, which are off by up to 90 %, and a gang with one member on a slow machine ended with that member.

The dispatcher takes expected run times from the ledger's run-time model, asked once for each step and plan. Workers carry a slowness and a speed class. Deadline-bound units take the fastest class that has room for all members, units with slack the slowest class on which they keep their deadline with a margin; unknown machines rank between. A slow worker in the preferred rack (2.2 times) beats a fast one elsewhere (3 times).

--- a/bench/dispatch/dispatcher_benchmark.cc
+++ b/bench/dispatch/dispatcher_benchmark.cc
@@ -1,5 +1,5 @@
 // Time of one plan of the dispatcher when every worker is full, by the number
-// of workers and of waiting units.
+// of workers and of waiting units, with and without learned run times.
 
 #include <benchmark/benchmark.h>
 
@@ -14,6 +14,11 @@
 constexpr int kWorkersPerRack = 12;
 constexpr std::int32_t kTasksPerSheet = 80;
 constexpr std::int32_t kTasksPerCheck = 8;
+// Every third machine is slow.
+constexpr int kMachinesPerSlowOne = 3;
+constexpr double kSlowness = 2.2;
+constexpr int kTrainingJobs = 4;
+constexpr Duration kRunTime = 7s;
 
 WorkerIncarnation MakeIncarnation(int n) {
   return {.id = "i-" + std::to_string(100'000 + n), .started_at_unix_ms = 1};
@@ -32,9 +37,44 @@
                     .target = 1s}};
 }
 
+// Runs jobs with one task on each machine to their ends, so that the run-time
+// model knows every machine, and the queue.
+void Train(Ledger& ledger, int workers, int first_job) {
+  const RulesView rules;
+  for (int n = 0; n < kTrainingJobs; ++n) {
+    const JobRequest job =
+        MakeJob(first_job + n, 2,
+                {.tasks = workers,
+                 .need = {.cpu_milli = 1000, .accelerators = 1},
+                 .estimate = 7600ms,
+                 .max_per_worker = 1});
+    ledger.Apply(kNow, JobSubmitted{.request = job});
+    for (const LedgerRecord& r : Dispatcher({}).Plan(
+             {.now = kNow, .epoch = 1, .ledger = ledger, .rules = rules})) {
+      ledger.Apply(kNow, r);
+    }
+    for (int w = 0; w < workers; ++w) {
+      const WorkerIncarnation worker = MakeIncarnation(w);
+      const auto runs = ledger.FindWorker(worker)->runs;
+      for (const auto& [task, run] : runs) {
+        ledger.Apply(
+            kNow,
+            TaskEnded{.incarnation = worker,
+                      .end_number = n + 1,
+                      .task = task,
+                      .run = run.run,
+                      .run_time = w % kMachinesPerSlowOne == 0
+                                      ? std::chrono::duration_cast<Duration>(
+                                            kRunTime * kSlowness)
+                                      : kRunTime});
+      }
+    }
+  }
+}
+
 // `workers` full workers, and `units` waiting units: wide jobs of single tasks,
 // and a gang of urgent tasks for every ten of them.
-Ledger FullCluster(int workers, int units) {
+Ledger FullCluster(int workers, int units, bool is_trained) {
   Ledger ledger;
   ledger.Apply(kNow, PlannerElected{.entry = "e", .epoch = 1});
   for (int n = 0; n < workers; ++n) {
@@ -50,6 +90,10 @@
                                                    .accelerators = 8}});
   }
   int job = 0;
+  if (is_trained) {
+    Train(ledger, workers, job);
+    job += kTrainingJobs;
+  }
   const JobStep sheet{
       .tasks = kTasksPerSheet,
       .need = {.cpu_milli = 11'000, .memory_mb = 32'000, .accelerators = 1},
@@ -78,8 +122,14 @@
 }
 
 void PlanWhenFull(benchmark::State& state) {
-  const Ledger ledger = FullCluster(static_cast<int>(state.range(0)),
-                                    static_cast<int>(state.range(1)));
+  const Ledger ledger =
+      FullCluster(static_cast<int>(state.range(0)),
+                  static_cast<int>(state.range(1)), state.range(2) != 0);
+  if (state.range(2) != 0 && ledger.run_times().machine_count() !=
+                                 static_cast<std::size_t>(state.range(0))) {
+    state.SkipWithError("machines are missing from the run-time model");
+    return;
+  }
   const RulesView rules;
   const Dispatcher dispatcher({});
   for (auto _ : state) {
@@ -88,9 +138,12 @@
   }
 }
 BENCHMARK(PlanWhenFull)
-    ->Args({240, 500})
-    ->Args({240, 5'000})
-    ->Args({2'400, 5'000})
+    ->ArgNames({"workers", "units", "is_trained"})
+    ->Args({240, 500, 0})
+    ->Args({240, 5'000, 0})
+    ->Args({240, 5'000, 1})
+    ->Args({2'400, 5'000, 0})
+    ->Args({2'400, 5'000, 1})
     ->Unit(benchmark::kMillisecond);
 
 }  // namespace
--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,6 +22,11 @@
   Resources spare;  // Expected to be free then, beside the gang's members.
 };
 
+// Speeds are compared by class, so that noise in what is learned does not
+// outweigh best fit: 0 below a slowness of 1.3, then a class for each half
+// octave.
+std::int32_t SpeedClass(double slowness);
+
 // Free capacity of one worker while a plan is made.
 struct WorkerCapacity {
   const LedgerWorker* entry = nullptr;
@@ -31,10 +37,23 @@
   bool hosts_trial = false;
   // The tasks that run here have not crashed it since the last one started.
   bool is_settled = true;
+  // Of its machine, by the run-time model; see SpeedClass().
+  double slowness = 1;
+  std::int32_t speed_class = 0;
+  bool is_known = false;  // The model has compared the machine with others.
   // Tasks that this plan places on the worker, by the first task of their step.
   std::map<TaskRef, std::int32_t> planned_tasks;
   std::vector<Release> planned_releases;  // By these tasks.
   std::optional<WorkerHold> hold;
+
+  // Run time on it / that on the usual machine. Differences within class 0 do
+  // not count.
+  double RunTimeFactor() const { return speed_class == 0 ? 1 : slowness; }
+  // Order of preference for work that needs fast machines: known ones of class
+  // 0, unknown ones, then the slower classes.
+  std::int32_t SpeedTier() const {
+    return speed_class > 0 ? 2 * speed_class : (is_known ? 0 : 1);
+  }
 };
 
 // Returns the first task of the task's step, which identifies the step.
@@ -68,8 +87,18 @@
   // Workers that host a unit on trial.
   std::size_t trial_hosts() const { return trial_hosts_; }
   void MarkTrialHost(const WorkerIncarnation& incarnation);
-  // Takes the capacity for a member of the unit.
-  void Reserve(const WorkerIncarnation& incarnation, const WaitingUnit& unit);
+  // Takes the capacity for a member of the unit until `expected_end`.
+  void Reserve(const WorkerIncarnation& incarnation,
+               const WaitingUnit& unit,
+               Time expected_end);
+  // Largest RunTimeFactor() of the workers of each class.
+  const std::map<std::int32_t, double>& speed_classes() const {
+    return speed_classes_;
+  }
+  // True if machines are known that are slower than usual.
+  bool HasSlowWorkers() const {
+    return !speed_classes_.empty() && speed_classes_.rbegin()->first > 0;
+  }
   // Searches call this with the number of workers that they examine.
   void CountExamined(std::size_t workers) const {
     examined_workers_ += static_cast<std::int64_t>(workers);
@@ -80,6 +109,7 @@
   std::map<WorkerIncarnation, WorkerCapacity> workers_;
   std::vector<const WorkerCapacity*> worker_list_;
   std::map<std::string, std::vector<const WorkerCapacity*>> workers_by_rack_;
+  std::map<std::int32_t, double> speed_classes_;
   std::size_t trial_hosts_ = 0;
   mutable std::int64_t examined_workers_ = 0;
 };
--- a/src/dispatch/deadline.cc
+++ b/src/dispatch/deadline.cc
@@ -1,22 +1,26 @@
 #include "src/dispatch/deadline.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace marjoramplank {
 
-Duration RunTimeEstimate(const JobStep& step, Duration default_estimate) {
-  return step.estimate > Duration(0) ? step.estimate : default_estimate;
+StepTimes ExpectedStepTimes(const RunTimeModel& model,
+                            const JobRequest& request,
+                            Duration default_estimate) {
+  StepTimes out(request.steps.size());
+  for (std::size_t s = 0; s < out.size(); ++s) {
+    out[s] = model.Expected(request, s, default_estimate);
+  }
+  return out;
 }
 
 Duration CriticalPathFrom(const JobRequest& request,
-                          std::size_t first_step,
-                          Duration default_estimate) {
+                          const StepTimes& run_times,
+                          std::size_t first_step) {
   // Time from the start of `first_step` to the end of each step; negative: the
   // step does not depend on it. Steps depend on earlier ones only.
   std::vector<Duration> end_offsets(request.steps.size(), Duration(-1));
-  end_offsets[first_step] =
-      RunTimeEstimate(request.steps[first_step], default_estimate);
+  end_offsets[first_step] = run_times[first_step];
   Duration longest = end_offsets[first_step];
   for (std::size_t s = first_step + 1; s < request.steps.size(); ++s) {
     Duration start(-1);
@@ -25,20 +29,18 @@
           std::max(start, end_offsets[static_cast<std::size_t>(dependency)]);
     }
     if (start >= Duration(0)) {
-      end_offsets[s] =
-          start + RunTimeEstimate(request.steps[s], default_estimate);
+      end_offsets[s] = start + run_times[s];
       longest = std::max(longest, end_offsets[s]);
     }
   }
   return longest;
 }
 
-Duration CriticalPath(const JobRequest& request, Duration default_estimate) {
+Duration CriticalPath(const JobRequest& request, const StepTimes& run_times) {
   Duration longest{0};
   for (std::size_t s = 0; s < request.steps.size(); ++s) {
     if (request.steps[s].after.empty()) {
-      longest =
-          std::max(longest, CriticalPathFrom(request, s, default_estimate));
+      longest = std::max(longest, CriticalPathFrom(request, run_times, s));
     }
   }
   return longest;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "src/dispatch/deadline.h"
+#include "src/dispatch/speed_choice.h"
 
 namespace marjoramplank {
 
@@ -27,6 +28,18 @@
              : std::min(first * (1 << std::min(count - 1, kMaxDoublings)), max);
 }
 
+// True if tasks wait that need all accelerators of the largest worker.
+bool AnyNeedsWholeWorkers(const std::vector<WaitingUnit>& units,
+                          const CapacityTable& table) {
+  std::int64_t largest = 1;
+  for (const WorkerCapacity* worker : table.workers()) {
+    largest = std::max(largest, worker->entry->report.capacity.accelerators);
+  }
+  return std::any_of(units.begin(), units.end(), [&](const WaitingUnit& u) {
+    return u.member_need.accelerators >= largest;
+  });
+}
+
 }  // namespace
 
 bool Dispatcher::IsQuarantined(const Input& in,
@@ -56,11 +69,15 @@
         in.rules.closed_data_centres.contains(entry->report.data_centre)) {
       continue;
     }
+    const double slowness = in.ledger.run_times().Slowness(in.now, name);
     const WorkerCapacity worker{
         .entry = entry,
         .free = entry->report.capacity - entry->used,
         .is_quarantined = IsQuarantined(in, agent, *entry),
-        .is_settled = trials_.IsSettled(in.now, *entry)};
+        .is_settled = trials_.IsSettled(in.now, *entry),
+        .slowness = slowness,
+        .speed_class = SpeedClass(slowness),
+        .is_known = in.ledger.run_times().SampleCount(name) > 0};
     table.Add(agent.incarnation, worker);
   }
   trials_.MarkHosts(in.now, in.ledger, table);
@@ -99,13 +116,11 @@
 
 void Dispatcher::AppendWaitingUnits(const Input& in,
                                     const LedgerJob& job,
+                                    const StepTimes& run_times,
                                     std::vector<WaitingUnit>& out) const {
   const JobRequest& r = job.request;
-  const Duration critical_path = CriticalPath(r, options_.default_estimate);
   const Duration objective =
-      Duration(static_cast<std::int64_t>(
-          static_cast<double>(critical_path.count()) * r.terms.stretch)) +
-      r.terms.target;
+      ScaledBy(r.terms.stretch, CriticalPath(r, run_times)) + r.terms.target;
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     Time due_at = job.first_seen_at;
     if (r.recurrence.occurrence_count > 0) {
@@ -125,9 +140,9 @@
         continue;
       }
       const JobStep& step = r.steps[s];
+      const Duration remaining = CriticalPathFrom(r, run_times, s);
       const DeadlineOutlook outlook =
-          AssessDeadline(in.now, due_at, due_at + objective,
-                         CriticalPathFrom(r, s, options_.default_estimate));
+          AssessDeadline(in.now, due_at, due_at + objective, remaining);
       Resources need = step.need;
       if (step.uses_idle_cpu) {
         need.cpu_milli = 0;
@@ -149,7 +164,10 @@
              .due_at = due_at,
              .deadline = due_at + objective,
              .outlook = outlook,
-             .expected_end = ExpectedEnd(in.now, step),
+             .run_time = run_times[s],
+             .remaining = remaining,
+             .planned_at = in.now,
+             .expected_end = ExpectedEnd(in.now, step, run_times[s]),
              .needs_trial =
                  state.units[u].MaxCrashes() >= kTrialCrashedWorkers});
       }
@@ -159,10 +177,12 @@
 
 std::vector<WaitingUnit> Dispatcher::SortedWaitingUnits(
     const Input& in,
+    StepTimeCache& step_times,
     const std::set<std::string>& guaranteed_jobs) const {
   std::vector<WaitingUnit> out;
   for (const std::string& id : in.ledger.open_jobs()) {
-    AppendWaitingUnits(in, in.ledger.jobs().at(id), out);
+    const LedgerJob& job = in.ledger.jobs().at(id);
+    AppendWaitingUnits(in, job, step_times.Of(job), out);
   }
   for (WaitingUnit& unit : out) {
     unit.is_guaranteed = guaranteed_jobs.contains(unit.first_task.job);
@@ -218,35 +238,32 @@
   }
 }
 
-Time Dispatcher::ExpectedEnd(Time now, const JobStep& step) const {
-  if (step.long_running) {
-    return kNever;
-  }
-  const Duration estimate = RunTimeEstimate(step, options_.default_estimate);
-  return now +
-         Duration(static_cast<std::int64_t>(
-             static_cast<double>(estimate.count()) * options_.backfill_margin));
+Time Dispatcher::ExpectedEnd(Time now,
+                             const JobStep& step,
+                             Duration run_time) const {
+  return step.long_running ? kNever
+                           : now + ScaledBy(options_.backfill_margin, run_time);
 }
 
 bool Dispatcher::WaitsForRack(const Input& in,
                               const CapacityTable& table,
                               const WaitingUnit& unit) const {
   const Duration waited = in.now - unit.due_at;
-  const auto estimate = static_cast<double>(
-      RunTimeEstimate(*unit.step, options_.default_estimate).count());
   const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
   const bool has_preferred_rack =
       (is_same_rack_gang && FitsInOneRack(table, unit)) ||
       (!unit.step->data_rack.empty() && CanRunInDataRack(table, unit));
-  return has_preferred_rack && static_cast<double>(waited.count()) <
-                                   options_.locality_wait_fraction * estimate;
+  return has_preferred_rack &&
+         static_cast<double>(waited.count()) <
+             options_.locality_wait_fraction *
+                 static_cast<double>(unit.run_time.count());
 }
 
 std::optional<UnitPlacement> Dispatcher::FindPlacementWithFallback(
     const Input& in,
     const CapacityTable& table,
     const WaitingUnit& unit,
-    bool allow_reserved) const {
+    PlacementOptions placement_options) const {
   const bool waits_for_rack = WaitsForRack(in, table, unit);
   const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
   const bool has_rack_preference =
@@ -256,19 +273,27 @@
         unit.unit->crashes.empty()) {
       break;  // No worker is excluded, so the result is the same.
     }
+    placement_options.allow_failed_worker = allow_failed_worker;
+    std::optional<UnitPlacement> best;
     for (const bool allow_any_rack : {false, true}) {
-      if (allow_any_rack ? waits_for_rack : !has_rack_preference) {
+      // A slow machine near the data is better than a fast one elsewhere.
+      if ((allow_any_rack ? waits_for_rack : !has_rack_preference) ||
+          (best && best->slowness <= kRemoteFactor)) {
         continue;
       }
-      std::optional<UnitPlacement> placement =
-          FindUnitPlacement(table, unit,
-                            {.allow_any_rack = allow_any_rack,
-                             .allow_failed_worker = allow_failed_worker,
-                             .allow_reserved = allow_reserved});
-      if (placement) {
-        return placement;
+      placement_options.allow_any_rack = allow_any_rack;
+      std::optional<UnitPlacement> placement = FindUnitPlacement(
+          table, unit,
+          ChooseSpeed(table, unit, allow_any_rack && has_rack_preference,
+                      placement_options));
+      if (placement &&
+          (!best || placement->slowness * kRemoteFactor < best->slowness)) {
+        best = std::move(placement);
       }
     }
+    if (best) {
+      return best;
+    }
   }
   return std::nullopt;
 }
@@ -342,8 +367,12 @@
 void Dispatcher::ReservePlacement(const WaitingUnit& unit,
                                   const UnitPlacement& placement,
                                   CapacityTable& table) {
+  double slowness = 1;  // Members that are done wait for the slowest one.
+  for (const MemberPlace& m : placement.members) {
+    slowness = std::max(slowness, table.Find(m.incarnation)->RunTimeFactor());
+  }
   for (const MemberPlace& m : placement.members) {
-    table.Reserve(m.incarnation, unit);
+    table.Reserve(m.incarnation, unit, unit.ExpectedEndAt(slowness));
     if (unit.needs_trial) {
       table.MarkTrialHost(m.incarnation);
     }
@@ -360,16 +389,18 @@
   CapacityTable table = BuildCapacityTable(in);
   std::set<TaskRef> stopped_units;
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
+  StepTimeCache step_times(in.ledger.run_times(), options_.default_estimate);
   const std::vector<WaitingUnit> waiting_units =
-      SortedWaitingUnits(in, guaranteed_jobs);
+      SortedWaitingUnits(in, step_times, guaranteed_jobs);
   if (in.trace != nullptr) {
     in.trace->usable_workers = table.workers().size();
     in.trace->waiting_units = waiting_units.size();
   }
   PreemptionSearch search(in.now, in.ledger, table, guaranteed_jobs);
   ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
-                                  table);
+                                  step_times, table);
   IdleJobs idle_jobs(in.ledger, table);
+  const bool keep_whole_workers = AnyNeedsWholeWorkers(waiting_units, table);
   // Steps of which a unit could not be placed. A plan only takes capacity, so
   // their other units cannot be placed either.
   std::set<TaskRef> unplaceable_steps;
@@ -380,8 +411,10 @@
       continue;
     }
     if (const std::optional<UnitPlacement> placement =
-            FindPlacementWithFallback(in, table, unit,
-                                      idle_jobs.MayUseReserved(unit))) {
+            FindPlacementWithFallback(
+                in, table, unit,
+                {.allow_reserved = idle_jobs.MayUseReserved(unit),
+                 .keep_whole_workers = keep_whole_workers})) {
       idle_jobs.SetRunning(unit.first_task.job);
       out.emplace_back(MakeRunStarted(in, unit, *placement));
       ReservePlacement(unit, *placement, table);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
+#include "src/dispatch/step_time_cache.h"
 #include "src/dispatch/trial_rules.h"
 #include "src/jobs/lease_timing.h"
 #include "src/jobs/ledger.h"
@@ -103,9 +104,11 @@
                      const LedgerWorker& worker) const;
   std::vector<WaitingUnit> SortedWaitingUnits(
       const Input& in,
+      StepTimeCache& step_times,
       const std::set<std::string>& guaranteed_jobs) const;
   void AppendWaitingUnits(const Input& in,
                           const LedgerJob& job,
+                          const StepTimes& run_times,
                           std::vector<WaitingUnit>& out) const;
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
   static void ReservePlacement(const WaitingUnit& unit,
@@ -114,7 +117,7 @@
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
   void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
-  Time ExpectedEnd(Time now, const JobStep& step) const;
+  Time ExpectedEnd(Time now, const JobStep& step, Duration run_time) const;
   // True while the unit waits for its preferred rack.
   bool WaitsForRack(const Input& in,
                     const CapacityTable& table,
@@ -124,7 +127,7 @@
       const Input& in,
       const CapacityTable& table,
       const WaitingUnit& unit,
-      bool allow_reserved) const;
+      PlacementOptions placement_options) const;
   // Reserves workers for a gang that does not fit.
   void ReserveForGang(const Input& in,
                       const CapacityTable& table,
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <utility>
 
 namespace marjoramplank {
 
@@ -64,12 +66,14 @@
 }
 
 // The room in which the unit may run: a worker that is reserved for a gang has
-// room for it only until the gang starts, or beside the gang.
+// room for it only until the gang starts, or beside the gang. `slowness`: of
+// the unit's slowest member.
 Resources AvailableTo(const WaitingUnit& unit,
                       const WorkerCapacity& worker,
+                      double slowness,
                       const PlacementOptions& options) {
   if (!worker.hold || options.allow_reserved ||
-      unit.expected_end <= worker.hold->until) {
+      unit.ExpectedEndAt(slowness) <= worker.hold->until) {
     return worker.free;
   }
   const Resources& spare = worker.hold->spare;
@@ -99,8 +103,9 @@
     if (!IsEligible(unit, *worker, options)) {
       continue;
     }
-    const std::int32_t fitting_members =
-        MembersThatFit(unit, *worker, AvailableTo(unit, *worker, options));
+    const std::int32_t fitting_members = MembersThatFit(
+        unit, *worker,
+        AvailableTo(unit, *worker, worker->RunTimeFactor(), options));
     if (fitting_members > 0) {
       // One accelerator outweighs the processors of any worker below 1,000
       // cores.
@@ -128,20 +133,143 @@
     const WaitingUnit& unit) {
   UnitPlacement placement;
   std::int32_t index = unit.first_task.index;
+  const auto is_complete = [&] {
+    return static_cast<std::int32_t>(placement.members.size()) ==
+           unit.member_count;
+  };
   for (const Candidate& candidate : candidates) {
-    for (std::int32_t n = 0; n < candidate.fitting_members; ++n) {
-      if (static_cast<std::int32_t>(placement.members.size()) ==
-          unit.member_count) {
-        return placement;
-      }
+    if (is_complete()) {
+      break;
+    }
+    for (std::int32_t n = 0; n < candidate.fitting_members && !is_complete();
+         ++n) {
       placement.members.push_back(
           {.index = index++, .incarnation = Id(*candidate.worker)});
     }
+    placement.speed_class =
+        std::max(placement.speed_class, candidate.worker->speed_class);
+    placement.slowness =
+        std::max(placement.slowness, candidate.worker->RunTimeFactor());
+  }
+  return is_complete() ? std::optional(placement) : std::nullopt;
+}
+
+// The candidates of these speed tiers, in their order, with the room that each
+// has for a unit whose slowest member is of the last tier.
+std::vector<Candidate> OfTiers(const std::vector<Candidate>& candidates,
+                               std::int32_t first_tier,
+                               std::int32_t last_tier,
+                               const WaitingUnit& unit,
+                               const PlacementOptions& options) {
+  std::vector<Candidate> out;
+  double slowness = 1;
+  for (const Candidate& c : candidates) {
+    const std::int32_t tier = c.worker->SpeedTier();
+    if (tier >= first_tier && tier <= last_tier) {
+      out.push_back(c);
+      slowness = std::max(slowness, c.worker->RunTimeFactor());
+    }
+  }
+  if (unit.member_count == 1) {
+    return out;  // It ends by the speed of its own worker.
+  }
+  for (Candidate& c : out) {
+    if (c.worker->hold) {
+      c.fitting_members = MembersThatFit(
+          unit, *c.worker, AvailableTo(unit, *c.worker, slowness, options));
+    }
+  }
+  return out;
+}
+
+constexpr std::int32_t kFirstSlowTier = 2;
+
+// Best fit among the workers up to the fastest tier that has enough room.
+std::optional<UnitPlacement> AssignFastFirst(
+    const std::vector<Candidate>& candidates,
+    const WaitingUnit& unit,
+    const PlacementOptions& options) {
+  std::set<std::int32_t> tiers;
+  for (const Candidate& c : candidates) {
+    tiers.insert(c.worker->SpeedTier());
+  }
+  for (const std::int32_t tier : tiers) {
+    if (std::optional<UnitPlacement> placement =
+            AssignMembers(OfTiers(candidates, 0, tier, unit, options), unit)) {
+      return placement;
+    }
+  }
+  return std::nullopt;
+}
+
+bool IsWhole(const WorkerCapacity& worker) {
+  return worker.free == worker.entry->report.capacity;
+}
+
+std::int64_t CountWholeWorkers(const std::vector<Candidate>& candidates,
+                               const UnitPlacement& placement) {
+  return std::count_if(
+      candidates.begin(), candidates.end(), [&](const Candidate& c) {
+        return IsWhole(*c.worker) &&
+               std::any_of(placement.members.begin(), placement.members.end(),
+                           [&](const MemberPlace& m) {
+                             return m.incarnation == Id(*c.worker);
+                           });
+      });
+}
+
+// A gang runs on slow workers only or as if it had no slack: a fast worker
+// would idle beside a slow one.
+std::optional<UnitPlacement> AssignGangSlowFirst(
+    const std::vector<Candidate>& candidates,
+    const WaitingUnit& unit,
+    const PlacementOptions& options) {
+  std::optional<UnitPlacement> fast_first =
+      AssignFastFirst(candidates, unit, options);
+  std::optional<UnitPlacement> slow =
+      AssignMembers(OfTiers(candidates, kFirstSlowTier, 2 * options.slack_class,
+                            unit, options),
+                    unit);
+  if (!slow || (options.keep_whole_workers && fast_first &&
+                CountWholeWorkers(candidates, *slow) >
+                    CountWholeWorkers(candidates, *fast_first))) {
+    return fast_first;
+  }
+  return slow;
+}
+
+std::optional<UnitPlacement> AssignSlowFirst(
+    const std::vector<Candidate>& candidates,
+    const WaitingUnit& unit,
+    const PlacementOptions& options) {
+  if (unit.member_count > 1) {
+    return AssignGangSlowFirst(candidates, unit, options);
+  }
+  std::vector<Candidate> with_slack =
+      OfTiers(candidates, 0, 2 * options.slack_class, unit, options);
+  const auto rank = [&](const Candidate& c) {
+    return std::pair(options.keep_whole_workers && IsWhole(*c.worker),
+                     -c.worker->SpeedTier());
+  };
+  std::stable_sort(
+      with_slack.begin(), with_slack.end(),
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  std::optional<UnitPlacement> placement = AssignMembers(with_slack, unit);
+  return placement ? placement : AssignFastFirst(candidates, unit, options);
+}
+
+std::optional<UnitPlacement> Assign(const std::vector<Candidate>& candidates,
+                                    const WaitingUnit& unit,
+                                    const PlacementOptions& options) {
+  switch (options.speed_order) {
+    case SpeedOrder::kFastFirst:
+      return AssignFastFirst(candidates, unit, options);
+    case SpeedOrder::kSlowFirst:
+      return AssignSlowFirst(candidates, unit, options);
+    case SpeedOrder::kIgnored:
+      break;
   }
-  return static_cast<std::int32_t>(placement.members.size()) ==
-                 unit.member_count
-             ? std::optional(placement)
-             : std::nullopt;
+  return AssignMembers(candidates, unit);
 }
 
 std::int64_t FreeAccelerators(const WorkerList& workers) {
@@ -152,19 +280,39 @@
   return count;
 }
 
+// Racks are preferred in ascending order of it.
+std::int32_t SpeedRank(const UnitPlacement& placement,
+                       const PlacementOptions& options) {
+  switch (options.speed_order) {
+    case SpeedOrder::kFastFirst:
+      return placement.speed_class;
+    case SpeedOrder::kSlowFirst:
+      return placement.speed_class <= options.slack_class
+                 ? -placement.speed_class
+                 : placement.speed_class;
+    case SpeedOrder::kIgnored:
+      break;
+  }
+  return 0;
+}
+
 std::optional<UnitPlacement> FindPlacementInOneRack(
     const CapacityTable& table,
     const WaitingUnit& unit,
     const PlacementOptions& options) {
   std::optional<UnitPlacement> best;
-  std::int64_t best_free = std::numeric_limits<std::int64_t>::max();
+  std::pair<std::int32_t, std::int64_t> best_rank;
   for (const auto& [rack, workers] : table.workers_by_rack()) {
     std::optional<UnitPlacement> placement =
-        AssignMembers(FindCandidates(table, workers, unit, options), unit);
-    const std::int64_t free = FreeAccelerators(workers);
-    if (placement && free < best_free) {
+        Assign(FindCandidates(table, workers, unit, options), unit, options);
+    if (!placement) {
+      continue;
+    }
+    const std::pair rank(SpeedRank(*placement, options),
+                         FreeAccelerators(workers));
+    if (!best || rank < best_rank) {
       best = std::move(placement);
-      best_free = free;
+      best_rank = rank;
     }
   }
   return best;
@@ -221,8 +369,8 @@
       return std::nullopt;
     }
   }
-  return AssignMembers(FindCandidates(table, table.workers(), unit, options),
-                       unit);
+  return Assign(FindCandidates(table, table.workers(), unit, options), unit,
+                options);
 }
 
 bool FitsInOneRack(const CapacityTable& table, const WaitingUnit& unit) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -15,6 +16,18 @@
   double cost = 0;               // Work lost by the victims, core-seconds.
   // Victims of the unit's own priority, which only use what a guarantee lends.
   std::int32_t urgent_victims = 0;
+  // Of the slowest member's worker.
+  std::int32_t speed_class = 0;
+  double slowness = 1;
+};
+
+// How the speed of machines counts among the workers with room.
+enum class SpeedOrder : std::uint8_t {
+  kIgnored,    // Best fit only.
+  kFastFirst,  // The slowest member on the fastest machine possible.
+  // The slowest machines up to PlacementOptions::slack_class, whole gangs on
+  // slow ones; else as kFastFirst.
+  kSlowFirst,
 };
 
 // Restrictions of a search that may be lifted; all apply by default.
@@ -27,6 +40,12 @@
   bool allow_failed_worker = false;
   // Also the room that is held for gangs with a reservation.
   bool allow_reserved = false;
+  SpeedOrder speed_order = SpeedOrder::kIgnored;
+  // Slowest class on which the unit meets its deadline with a margin.
+  std::int32_t slack_class = 0;
+  // Larger tasks wait for whole workers: do not split one more than best fit
+  // would for the sake of speed.
+  bool keep_whole_workers = false;
 };
 
 // Finds free capacity for every member of the unit. Empty: there is none.
--- a/src/dispatch/reservation.cc
+++ b/src/dispatch/reservation.cc
@@ -24,8 +24,25 @@
          searches_ < options_.max_reservations * kSearchesPerReservation;
 }
 
+double ReservationPlanner::SlownessOfGang(const LedgerJob& job,
+                                          const TaskRef& task) {
+  const TaskRef first = FirstTaskOfUnit(job, task);
+  const RunUnit& unit =
+      job.occurrences[static_cast<std::size_t>(first.occurrence)]
+                     [static_cast<std::size_t>(first.step)]
+                         .units[static_cast<std::size_t>(first.index)];
+  double slowness = 1;
+  for (const MemberPlace& m : unit.members) {
+    const WorkerCapacity* worker = table_.Find(m.incarnation);
+    slowness =
+        std::max(slowness, worker == nullptr ? 1 : worker->RunTimeFactor());
+  }
+  return slowness;
+}
+
 Time ReservationPlanner::ExpectedEnd(const TaskRef& task,
-                                     const LiveRun& run) const {
+                                     const LiveRun& run,
+                                     const WorkerCapacity& worker) {
   const LedgerJob* job = ledger_.FindJob(task.job);
   if (run.must_stop || job == nullptr || job->ended()) {
     return now_;
@@ -37,8 +54,12 @@
   const Duration age = now_ - run.first_seen_at;
   const Duration overdue(static_cast<std::int64_t>(
       static_cast<double>(age.count()) * options_.overdue_fraction));
-  return now_ + std::max(RunTimeEstimate(step, options_.default_estimate) - age,
-                         overdue);
+  const Duration run_time =
+      step_times_.Of(*job)[static_cast<std::size_t>(task.step)];
+  const double slowness = step.gang && table_.HasSlowWorkers()
+                              ? SlownessOfGang(*job, task)
+                              : worker.RunTimeFactor();
+  return now_ + std::max(ScaledBy(slowness, run_time) - age, overdue);
 }
 
 const std::vector<Release>& ReservationPlanner::ReleasesOf(
@@ -47,7 +68,8 @@
   if (is_new) {
     it->second = worker.planned_releases;
     for (const auto& [task, run] : worker.entry->runs) {
-      it->second.push_back({.at = ExpectedEnd(task, run), .need = run.need});
+      it->second.push_back(
+          {.at = ExpectedEnd(task, run, worker), .need = run.need});
     }
     std::sort(it->second.begin(), it->second.end(),
               [](const auto& a, const auto& b) { return a.at < b.at; });
--- a/src/dispatch/reservation.h
+++ b/src/dispatch/reservation.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/dispatch/placement.h"
+#include "src/dispatch/step_time_cache.h"
 
 namespace marjoramplank {
 
@@ -40,17 +41,20 @@
     // A run over its estimate is expected to last this fraction of its age
     // more.
     double overdue_fraction = 0.25;
-    // Estimated run time of a step that has no declared or learned one.
-    Duration default_estimate{5000};
   };
 
-  // The ledger and the table must outlive the planner. The runs in the ledger
-  // must not change.
+  // The ledger, the run times and the table must outlive the planner. The runs
+  // in the ledger must not change.
   ReservationPlanner(Options options,
                      Time now,
                      const Ledger& ledger,
+                     StepTimeCache& step_times,
                      CapacityTable& table)
-      : options_(options), now_(now), ledger_(ledger), table_(table) {}
+      : options_(options),
+        now_(now),
+        ledger_(ledger),
+        step_times_(step_times),
+        table_(table) {}
 
   // True until the reservations or the searches of this plan are used up.
   bool MayReserve() const;
@@ -68,7 +72,12 @@
   };
   using WorkerList = std::vector<const WorkerCapacity*>;
 
-  Time ExpectedEnd(const TaskRef& task, const LiveRun& run) const;
+  // `worker`: on which it runs.
+  Time ExpectedEnd(const TaskRef& task,
+                   const LiveRun& run,
+                   const WorkerCapacity& worker);
+  // Of the slowest member's worker.
+  double SlownessOfGang(const LedgerJob& job, const TaskRef& task);
   const std::vector<Release>& ReleasesOf(const WorkerCapacity& worker);
   void AppendSlots(const WaitingUnit& gang,
                    const WorkerCapacity& worker,
@@ -82,6 +91,7 @@
   const Options options_;
   const Time now_;
   const Ledger& ledger_;
+  StepTimeCache& step_times_;
   CapacityTable& table_;
   std::size_t searches_ = 0;
   std::size_t reserved_workers_ = 0;
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -17,10 +17,24 @@
   Time deadline{0};       // The objective is to end by then.
   DeadlineOutlook outlook = DeadlineOutlook::kOnTime;
   bool is_guaranteed = false;  // Within its account's guarantee.
-  // If it starts now; kNever for tasks that last.
+  // Expected run time of its tasks on a machine of usual speed.
+  Duration run_time{0};
+  // Expected time to the end of the job if the unit starts now and everything
+  // runs on such machines.
+  Duration remaining{0};
+  Time planned_at{0};
+  // When its capacity is free again, with a margin, if it starts now on such
+  // machines; kNever for tasks that last.
   Time expected_end = kNever;
   // Workers have crashed under it: see CapacityTable.
   bool needs_trial = false;
+
+  // `expected_end` on machines with this slowness.
+  Time ExpectedEndAt(double slowness) const {
+    return expected_end == kNever
+               ? kNever
+               : planned_at + ScaledBy(slowness, expected_end - planned_at);
+  }
 };
 
 }  // namespace marjoramplank
--- a/tests/unit/deadline_test.cc
+++ b/tests/unit/deadline_test.cc
@@ -12,11 +12,13 @@
                                  {.estimate = 3s},
                                  {.estimate = 4s, .after = {0}},
                                  {.after = {1, 2}}}};
-  CHECK(CriticalPath(job, kDefaultEstimate) == 11s);
-  CHECK(CriticalPathFrom(job, 0, kDefaultEstimate) == 11s);
-  CHECK(CriticalPathFrom(job, 1, kDefaultEstimate) == 8s);
-  CHECK(CriticalPathFrom(job, 2, kDefaultEstimate) == 9s);
-  CHECK(CriticalPathFrom(job, 3, kDefaultEstimate) == kDefaultEstimate);
+  const StepTimes run_times =
+      ExpectedStepTimes(RunTimeModel(), job, kDefaultEstimate);
+  CHECK(CriticalPath(job, run_times) == 11s);
+  CHECK(CriticalPathFrom(job, run_times, 0) == 11s);
+  CHECK(CriticalPathFrom(job, run_times, 1) == 8s);
+  CHECK(CriticalPathFrom(job, run_times, 2) == 9s);
+  CHECK(CriticalPathFrom(job, run_times, 3) == kDefaultEstimate);
 
   CHECK(AssessDeadline(10s, 8s, 12s, 2s) == DeadlineOutlook::kOnTime);
   CHECK(AssessDeadline(10s, 8s, 12s, 3s) == DeadlineOutlook::kLate);
