--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -28,6 +28,52 @@
              : std::min(first * (1 << std::min(count - 1, kMaxDoublings)), max);
 }
 
+// Of the slowest member, for which the others wait.
+double SlownessOf(CapacityTable& table, const UnitPlacement& placement) {
+  double out = 1;
+  for (const MemberPlace& m : placement.members) {
+    out = std::max(out, table.Find(m.incarnation)->RunTimeFactor());
+  }
+  return out;
+}
+
+// In one rack if the unit needs that and it is possible.
+std::optional<UnitPlacement> FindVictims(PreemptionSearch& search,
+                                         const WaitingUnit& unit,
+                                         std::int32_t max_speed_class) {
+  if (unit.step->gang && unit.step->same_rack) {
+    if (std::optional<UnitPlacement> placement =
+            search.Find(unit, /*allow_any_rack=*/false, max_speed_class)) {
+      return placement;
+    }
+  }
+  return search.Find(unit, /*allow_any_rack=*/true, max_speed_class);
+}
+
+void TraceStart(const Dispatcher::Input& in,
+                CapacityTable& table,
+                const WaitingUnit& unit,
+                const UnitPlacement& placement) {
+  if (in.trace == nullptr) {
+    return;
+  }
+  Duration sample_age{0};
+  for (const MemberPlace& m : placement.members) {
+    sample_age =
+        std::max(sample_age,
+                 in.ledger.run_times().SampleAge(
+                     in.now, table.Find(m.incarnation)->entry->report.agent));
+  }
+  in.trace->starts.push_back(
+      {.unit = unit.first_task,
+       .expected_run_time =
+           ScaledBy(RunTimeFactor(table, unit, placement), unit.run_time),
+       .slowness = placement.slowness,
+       .speed_class = placement.speed_class,
+       .sample_age = sample_age,
+       .speed_order = placement.speed_order});
+}
+
 // True if tasks wait that need all accelerators of the largest worker.
 bool AnyNeedsWholeWorkers(const std::vector<WaitingUnit>& units,
                           const CapacityTable& table) {
@@ -312,29 +358,98 @@
     scope = unit.step->same_rack ? ReservationScope::kOneRack
                                  : ReservationScope::kDataRack;
   }
-  reservations.Reserve(unit, scope);
+  const bool is_remote =
+      scope == ReservationScope::kAnyWorker &&
+      (unit.step->same_rack || !unit.step->data_rack.empty());
+  const bool has_slack = ChooseSpeed(table, unit, is_remote, {}).speed_order ==
+                         SpeedOrder::kSlowFirst;
+  reservations.Reserve(unit, scope, has_slack);
+}
+
+struct Dispatcher::Stops {
+  std::vector<LedgerRecord>& out;
+  std::set<TaskRef> units;  // First tasks of the units that the plan stops.
+};
+
+double Dispatcher::GainOnFast(CapacityTable& table,
+                              const WaitingUnit& unit,
+                              const UnitPlacement& slow) const {
+  const double factor = RunTimeFactor(table, unit, slow);
+  if (!table.HasSlowWorkers() || unit.step->long_running ||
+      unit.outlook != DeadlineOutlook::kOnTime ||
+      OutlookAt(unit, Duration(0), factor) == DeadlineOutlook::kOnTime) {
+    return 0;
+  }
+  return options_.fast_preemption_weight * CoreEquivalent(unit.member_need) *
+         unit.member_count * ToSeconds(unit.run_time) * (factor - 1);
 }
 
 bool Dispatcher::Preempt(const Input& in,
                          CapacityTable& table,
                          PreemptionSearch& search,
                          const WaitingUnit& unit,
-                         std::set<TaskRef>& stopped_units,
-                         std::vector<LedgerRecord>& out) const {
-  const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
-  std::optional<UnitPlacement> placement;
-  if (is_same_rack_gang) {
-    placement = search.Find(unit, /*allow_any_rack=*/false);
+                         Stops& stops) const {
+  const std::optional<UnitPlacement> anywhere =
+      FindVictims(search, unit, kAnySpeedClass);
+  if (!anywhere) {
+    return false;
+  }
+  UnitPlacement placement = *anywhere;
+  placement.slowness = SlownessOf(table, placement);
+  if (const double gain = GainOnFast(table, unit, placement); gain > 0) {
+    const std::optional<UnitPlacement> on_fast =
+        FindVictims(search, unit, /*max_speed_class=*/0);
+    if (on_fast && on_fast->urgent_victims <= placement.urgent_victims &&
+        on_fast->cost <= placement.cost + gain) {
+      placement = *on_fast;
+    }
+  }
+  if (!unit.is_guaranteed &&
+      placement.cost > options_.preemption_limit_core_seconds) {
+    return false;
   }
-  if (!placement) {
-    placement = search.Find(unit, /*allow_any_rack=*/true);
+  StopVictims(in, unit, placement, stops);
+  // Includes what is free already, so that units later in the order cannot use
+  // it.
+  ReservePlacement(unit, placement, table);
+  return true;
+}
+
+bool Dispatcher::PreemptOnFast(const Input& in,
+                               CapacityTable& table,
+                               PreemptionSearch& search,
+                               const FastWait& fast_wait,
+                               const WaitingUnit& unit,
+                               const UnitPlacement& slow,
+                               Stops& stops) const {
+  if (unit.job->request.terms.priority != 0 || slow.speed_class == 0 ||
+      unit.needs_trial) {
+    return false;
   }
-  if (!placement ||
-      (!unit.is_guaranteed &&
-       placement->cost > options_.preemption_limit_core_seconds)) {
+  const double gain = GainOnFast(table, unit, slow);
+  if (gain <= 0 || !fast_wait.MayAwaitStops(unit, /*is_new=*/false)) {
     return false;
   }
-  for (const TaskRef& task : placement->victims) {
+  const std::optional<UnitPlacement> placement =
+      FindVictims(search, unit, /*max_speed_class=*/0);
+  // Without victims, another rule forbids what is free.
+  if (!placement || placement->victims.empty() ||
+      placement->urgent_victims > 0 || placement->cost > gain ||
+      IsRemote(table, unit, *placement) ||
+      (placement->cost > 0 &&
+       !fast_wait.MayAwaitStops(unit, /*is_new=*/true))) {
+    return false;
+  }
+  StopVictims(in, unit, *placement, stops);
+  ReservePlacement(unit, *placement, table);
+  return true;
+}
+
+void Dispatcher::StopVictims(const Input& in,
+                             const WaitingUnit& unit,
+                             const UnitPlacement& placement,
+                             Stops& stops) {
+  for (const TaskRef& task : placement.victims) {
     const LedgerJob* job = in.ledger.FindJob(task.job);
     if (job == nullptr || job->ended()) {
       continue;  // The job has ended, so its tasks stop already.
@@ -344,33 +459,26 @@
         job->occurrences[static_cast<std::size_t>(first.occurrence)]
                         [static_cast<std::size_t>(first.step)]
                             .units[static_cast<std::size_t>(first.index)];
-    if (victim.stop_requested || !stopped_units.insert(first).second) {
+    if (victim.stop_requested || !stops.units.insert(first).second) {
       continue;
     }
     if (in.trace != nullptr) {
       in.trace->preemptions.push_back({.for_unit = unit.first_task,
                                        .is_guaranteed = unit.is_guaranteed,
                                        .victim = first,
-                                       .lost_core_seconds = placement->cost});
+                                       .lost_core_seconds = placement.cost});
     }
-    out.emplace_back(RunStopped{.epoch = in.epoch,
-                                .first = first,
-                                .run = victim.run,
-                                .cause = StopCause::kReclaim});
+    stops.out.emplace_back(RunStopped{.epoch = in.epoch,
+                                      .first = first,
+                                      .run = victim.run,
+                                      .cause = StopCause::kReclaim});
   }
-  // Includes what is free already, so that units later in the order cannot use
-  // it.
-  ReservePlacement(unit, *placement, table);
-  return true;
 }
 
 void Dispatcher::ReservePlacement(const WaitingUnit& unit,
                                   const UnitPlacement& placement,
                                   CapacityTable& table) {
-  double slowness = 1;  // Members that are done wait for the slowest one.
-  for (const MemberPlace& m : placement.members) {
-    slowness = std::max(slowness, table.Find(m.incarnation)->RunTimeFactor());
-  }
+  const double slowness = SlownessOf(table, placement);
   for (const MemberPlace& m : placement.members) {
     table.Reserve(m.incarnation, unit, unit.ExpectedEndAt(slowness));
     if (unit.needs_trial) {
@@ -387,7 +495,7 @@
   }
   StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
-  std::set<TaskRef> stopped_units;
+  Stops stops{.out = out};
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   StepTimeCache step_times(in.ledger.run_times(), options_.default_estimate);
   const std::vector<WaitingUnit> waiting_units =
@@ -400,6 +508,7 @@
   ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
                                   step_times, table);
   IdleJobs idle_jobs(in.ledger, table);
+  FastWait fast_wait(options_.fast_wait, table, reservations, idle_jobs);
   const bool keep_whole_workers = AnyNeedsWholeWorkers(waiting_units, table);
   // Steps of which a unit could not be placed. A plan only takes capacity, so
   // their other units cannot be placed either.
@@ -407,23 +516,33 @@
   for (const WaitingUnit& unit : waiting_units) {
     const TaskRef step = FirstTaskOfStep(unit.first_task);
     if (unplaceable_steps.contains(step) ||
-        (unit.needs_trial && !trials_.MayHostMore(table))) {
+        (unit.needs_trial && !trials_.MayHostMore(table)) ||
+        fast_wait.TakeWaitOfStep(unit)) {
       continue;
     }
+    const bool may_preempt =
+        unit.is_guaranteed || unit.job->request.terms.priority == 0;
+    // Reservations are made for lower priorities, or by a wait for faster
+    // machines, and neither comes before urgent work.
     if (const std::optional<UnitPlacement> placement =
             FindPlacementWithFallback(
                 in, table, unit,
-                {.allow_reserved = idle_jobs.MayUseReserved(unit),
+                {.allow_reserved =
+                     may_preempt || idle_jobs.MayUseReserved(unit),
                  .keep_whole_workers = keep_whole_workers})) {
+      if (PreemptOnFast(in, table, search, fast_wait, unit, *placement,
+                        stops) ||
+          fast_wait.MustWait(unit, *placement)) {
+        continue;
+      }
       idle_jobs.SetRunning(unit.first_task.job);
       out.emplace_back(MakeRunStarted(in, unit, *placement));
+      TraceStart(in, table, unit, *placement);
       ReservePlacement(unit, *placement, table);
       continue;
     }
-    const bool may_preempt =
-        unit.is_guaranteed || unit.job->request.terms.priority == 0;
     const bool has_room =
-        may_preempt && Preempt(in, table, search, unit, stopped_units, out);
+        may_preempt && Preempt(in, table, search, unit, stops);
     if (has_room) {
       continue;
     }
@@ -437,6 +556,7 @@
     }
   }
   if (in.trace != nullptr) {
+    in.trace->fast_waits = fast_wait.waits();
     in.trace->reservations = reservations.reservations();
     in.trace->examined_workers = table.examined_workers();
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "src/dispatch/fast_wait.h"
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
@@ -56,6 +57,10 @@
     // time of a reservation only with this margin.
     double backfill_margin = 1.25;
     ReservationPlanner::Options reservations;
+    FastWait::Options fast_wait;
+    // What an urgent unit's victims on fast machines may lose, for each
+    // core-second that it saves there against a slow machine that has room.
+    double fast_preemption_weight = 1;
   };
 
   // A preemption of a plan: which unit displaces which run, and at what cost.
@@ -65,6 +70,15 @@
     TaskRef victim;                // First task of the displaced unit.
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
   };
+  // A start, with what was expected of it.
+  struct Start {
+    TaskRef unit;
+    Duration expected_run_time{0};
+    double slowness = 1;  // Of the slowest member's machine.
+    std::int32_t speed_class = 0;
+    Duration sample_age{0};  // Oldest of its members' machines. 0: unknown.
+    SpeedOrder speed_order = SpeedOrder::kIgnored;
+  };
   struct LostWorker {
     WorkerIncarnation incarnation;
     Duration silence{0};  // Of its agent.
@@ -76,6 +90,8 @@
     std::size_t waiting_units = 0;
     // Workers that were examined, counted once for each search.
     std::int64_t examined_workers = 0;
+    std::vector<Start> starts;  // In the order of their decisions.
+    std::vector<FastWait::Wait> fast_waits;
     std::vector<Preemption> preemptions;
     std::vector<Reservation> reservations;
   };
@@ -98,6 +114,8 @@
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
  private:
+  struct Stops;  // By a plan.
+
   CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
@@ -133,14 +151,31 @@
                       const CapacityTable& table,
                       const WaitingUnit& unit,
                       ReservationPlanner& reservations) const;
-  // Stops victims for the unit and reserves its capacity. `stopped_units` holds
-  // the units that this plan stops. Returns false if nothing may be preempted.
+  // Stops victims for the unit and reserves its capacity. Returns false if
+  // nothing may be preempted.
   bool Preempt(const Input& in,
                CapacityTable& table,
                PreemptionSearch& search,
                const WaitingUnit& unit,
-               std::set<TaskRef>& stopped_units,
-               std::vector<LedgerRecord>& out) const;
+               Stops& stops) const;
+  // The same on fast machines, for an urgent unit that has room only on slow
+  // ones, `slow`, and would end late there.
+  bool PreemptOnFast(const Input& in,
+                     CapacityTable& table,
+                     PreemptionSearch& search,
+                     const FastWait& fast_wait,
+                     const WaitingUnit& unit,
+                     const UnitPlacement& slow,
+                     Stops& stops) const;
+  // Core-seconds that the unit saves if it does not start as in `slow`, if that
+  // is what it needs to end in time. Else 0.
+  double GainOnFast(CapacityTable& table,
+                    const WaitingUnit& unit,
+                    const UnitPlacement& slow) const;
+  static void StopVictims(const Input& in,
+                          const WaitingUnit& unit,
+                          const UnitPlacement& placement,
+                          Stops& stops);
 
   Options options_;
   TrialRules trials_;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -261,15 +261,22 @@
 std::optional<UnitPlacement> Assign(const std::vector<Candidate>& candidates,
                                     const WaitingUnit& unit,
                                     const PlacementOptions& options) {
+  std::optional<UnitPlacement> placement;
   switch (options.speed_order) {
+    case SpeedOrder::kIgnored:
+      placement = AssignMembers(candidates, unit);
+      break;
     case SpeedOrder::kFastFirst:
-      return AssignFastFirst(candidates, unit, options);
+      placement = AssignFastFirst(candidates, unit, options);
+      break;
     case SpeedOrder::kSlowFirst:
-      return AssignSlowFirst(candidates, unit, options);
-    case SpeedOrder::kIgnored:
+      placement = AssignSlowFirst(candidates, unit, options);
       break;
   }
-  return AssignMembers(candidates, unit);
+  if (placement) {
+    placement->speed_order = options.speed_order;
+  }
+  return placement;
 }
 
 std::int64_t FreeAccelerators(const WorkerList& workers) {
@@ -320,6 +327,18 @@
 
 }  // namespace
 
+const char* ToString(SpeedOrder order) {
+  switch (order) {
+    case SpeedOrder::kIgnored:
+      break;
+    case SpeedOrder::kFastFirst:
+      return "fast";
+    case SpeedOrder::kSlowFirst:
+      return "slow";
+  }
+  return "any";
+}
+
 double CoreEquivalent(const Resources& resources) {
   constexpr double kCoresPerAccelerator = 8;
   return static_cast<double>(resources.cpu_milli) / 1000 +
