--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -46,6 +46,10 @@
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
     double locality_wait_fraction = 0.6;
+    // A unit within its guarantee does so for this long at most: it must start
+    // 2.7 s after its acknowledgement whatever its estimate is, and runs that
+    // it preempts take up to 0.9 s to stop.
+    Duration guaranteed_locality_limit{1200};
     // Most work that a unit of priority 0 beyond its account's guarantee may
     // cost its victims.
     double preemption_limit_core_seconds = 1500;
@@ -114,20 +118,27 @@
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
  private:
-  struct Stops;  // By a plan.
+  struct PlanState;
+  struct WaitingStep;
 
   CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
                      const LedgerWorker& worker) const;
-  std::vector<WaitingUnit> SortedWaitingUnits(
+  // In scheduling order.
+  std::vector<WaitingStep> SortedWaitingSteps(
       const Input& in,
       StepTimeCache& step_times,
       const std::set<std::string>& guaranteed_jobs) const;
-  void AppendWaitingUnits(const Input& in,
+  void AppendWaitingSteps(const Input& in,
                           const LedgerJob& job,
                           const StepTimes& run_times,
-                          std::vector<WaitingUnit>& out) const;
+                          std::vector<WaitingStep>& out) const;
+  void PlanStep(PlanState& state, const WaitingStep& step) const;
+  // Starts the unit, preempts for it or lets it wait for faster machines.
+  // Returns false if there is no room.
+  bool PlanUnit(PlanState& state, const WaitingUnit& unit) const;
+  static bool MayPreempt(const WaitingUnit& unit);
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
   static void ReservePlacement(const WaitingUnit& unit,
                                const UnitPlacement& placement,
@@ -153,29 +164,22 @@
                       ReservationPlanner& reservations) const;
   // Stops victims for the unit and reserves its capacity. Returns false if
   // nothing may be preempted.
-  bool Preempt(const Input& in,
-               CapacityTable& table,
-               PreemptionSearch& search,
-               const WaitingUnit& unit,
-               Stops& stops) const;
+  bool Preempt(PlanState& state, const WaitingUnit& unit) const;
   // The same on fast machines, for an urgent unit that has room only on slow
   // ones, `slow`, and would end late there.
-  bool PreemptOnFast(const Input& in,
-                     CapacityTable& table,
-                     PreemptionSearch& search,
-                     const FastWait& fast_wait,
+  bool PreemptOnFast(PlanState& state,
                      const WaitingUnit& unit,
-                     const UnitPlacement& slow,
-                     Stops& stops) const;
-  // Core-seconds that the unit saves if it does not start as in `slow`, if that
-  // is what it needs to end in time. Else 0.
-  double GainOnFast(CapacityTable& table,
-                    const WaitingUnit& unit,
-                    const UnitPlacement& slow) const;
-  static void StopVictims(const Input& in,
+                     const UnitPlacement& slow) const;
+  // On fast machines if that is worth what it costs more than elsewhere.
+  std::optional<UnitPlacement> FindVictims(PlanState& state,
+                                           const WaitingUnit& unit) const;
+  // Core-seconds that the unit saves on machines of usual speed against a run
+  // time of `slow_factor` times theirs, if it needs them to end in time; else
+  // 0.
+  double GainOnFast(const WaitingUnit& unit, double slow_factor) const;
+  static void StopVictims(PlanState& state,
                           const WaitingUnit& unit,
-                          const UnitPlacement& placement,
-                          Stops& stops);
+                          const UnitPlacement& placement);
 
   Options options_;
   TrialRules trials_;
