--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -47,6 +47,9 @@
     {"lease_lapses_total", "Tasks whose lease lapsed"},
     {"worker_crashes_total", "Workers whose process ended unannounced"},
     {"run_time_samples_total", "Run times that the planner has learned from"},
+    {"slow_starts_total", "Starts with a member on a slow machine"},
+    {"fast_waits_total",
+     "Waits for fast machines, once a second for each unit"},
 };
 
 constexpr MetricInfo kGauges[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -42,6 +42,8 @@
   kLeaseLapses,      // Agent: tasks whose lease expired.
   kWorkerCrashes,    // Planner: workers that crashed.
   kRunTimeSamples,   // Planner: run times that the run-time model has taken.
+  kSlowStarts,       // Planner: starts with a member on a slow machine.
+  kFastWaits,  // Planner: waits for fast machines, once a second for each unit.
   kCount,
 };
 
