Fair share: accounts of a service that is too small compete by their use

Waiting units were ordered by priority, outlook and deadline only, so that a burst of one account took every place that became free until it was done.

While a service has less capacity than its accounts want (by its scarcest resource), each account has a max-min fair share in core equivalents. Units that find their account at or beyond the share come after the others of the same guarantee flag, priority and outlook. Within both groups the order stays by deadline. Guaranteed work is the account's own and is never reordered.

Evidence: unit tests [fair_share]; properties on random ledgers: the plan is that of a single account while capacity suffices or only one account waits, and no capacity stays idle (200 cases each).

Ruled out: shares by the scarcest resource alone (accounts without need of it would always go first).

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "src/dispatch/deadline.h"
+#include "src/dispatch/fair_share.h"
 
 namespace marjoramplank {
 
@@ -175,6 +176,7 @@
   };
   std::sort(out.begin(), out.end(),
             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  OrderByFairShare(in.ledger, in.rules, out);
   return out;
 }
 
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -17,6 +17,8 @@
   Time deadline{0};       // The objective is to end by then.
   DeadlineOutlook outlook = DeadlineOutlook::kOnTime;
   bool is_guaranteed = false;  // Within its account's guarantee.
+  // Its account already uses its fair share: see OrderByFairShare().
+  bool exceeds_fair_share = false;
   // If it starts now; kNever for tasks that last.
   Time expected_end = kNever;
   // Workers have crashed under it: see CapacityTable.
