--- /dev/null
+++ b/src/admission/service_load.cc
@@ -0,0 +1,199 @@
+#include "src/admission/service_load.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/dispatch/deadline.h"
+
+namespace marjoramplank {
+
+namespace {
+
+constexpr double kMilliPerCore = 1000;
+
+// Predicts run times of steps. Those of steps without a run depend on the queue
+// and the declared time only and are computed once.
+class StepTimes {
+ public:
+  StepTimes(const Ledger& ledger, Duration default_estimate)
+      : model_(ledger.run_times()), default_estimate_(default_estimate) {}
+
+  Duration Of(const LedgerJob& job, std::size_t step) {
+    const JobRequest& r = job.request;
+    if (job.phase != JobPhase::kQueued || job.has_begun) {
+      return model_.Expected(r, step, default_estimate_);
+    }
+    const auto [it, is_new] = by_queue_.try_emplace(
+        std::pair(r.terms.queue, r.steps[step].estimate), Duration(0));
+    if (is_new) {
+      it->second = model_.Expected(r, step, default_estimate_);
+    }
+    return it->second;
+  }
+
+ private:
+  const RunTimeModel& model_;
+  const Duration default_estimate_;
+  std::map<std::pair<std::string, Duration>, Duration> by_queue_;
+};
+
+struct JobView {
+  const LedgerJob& job;
+  std::vector<Duration> run_times;  // Of its steps.
+  Time deadline{0};
+  bool counts_waiting = true;
+};
+
+JobView Describe(Time now,
+                 const LedgerJob& job,
+                 StepTimes& times,
+                 Duration default_estimate) {
+  const JobRequest& r = job.request;
+  JobView out{.job = job};
+  std::vector<Duration> remaining;
+  for (std::size_t s = 0; s < r.steps.size(); ++s) {
+    out.run_times.push_back(times.Of(job, s));
+    const StepState& state = job.occurrences.front()[s];
+    const bool is_done =
+        state.done_units == static_cast<std::int32_t>(state.units.size());
+    remaining.push_back(is_done ? Duration(0) : out.run_times.back());
+  }
+  const Duration critical_path = CriticalPath(r, default_estimate);
+  out.deadline =
+      job.first_seen_at +
+      Duration(static_cast<std::int64_t>(
+          static_cast<double>(critical_path.count()) * r.terms.stretch)) +
+      r.terms.target;
+  out.counts_waiting =
+      r.recurrence.occurrence_count == 0 &&
+      AssessDeadline(now, job.first_seen_at, out.deadline,
+                     LongestChain(r, remaining)) != DeadlineOutlook::kNoCredit;
+  return out;
+}
+
+PendingWork MakeWork(const JobView& view,
+                     const JobStep& step,
+                     bool is_running,
+                     double seconds) {
+  const Resources need = NeedOnWorker(step);
+  const JobRequest& r = view.job.request;
+  return {
+      .account = r.account,
+      .label = step.required_label,
+      .priority = r.terms.priority,
+      .is_running = is_running,
+      .deadline = view.deadline,
+      .core_seconds =
+          seconds * static_cast<double>(need.cpu_milli) / kMilliPerCore,
+      .accelerator_seconds = seconds * static_cast<double>(need.accelerators)};
+}
+
+// Time left of a member of the unit: by the time since its start, or by its
+// progress if that shows less.
+double SecondsLeft(Time now,
+                   const Ledger& ledger,
+                   TaskRef task,
+                   const RunUnit& unit,
+                   Duration run_time) {
+  double left = ToSeconds(run_time);
+  for (const MemberPlace& m : unit.members) {
+    const LedgerWorker* worker = ledger.FindWorker(m.incarnation);
+    task.index = m.index;
+    if (worker == nullptr) {
+      continue;
+    }
+    const auto run = worker->runs.find(task);
+    if (run == worker->runs.end()) {
+      continue;
+    }
+    constexpr double kAllPercent = 100;
+    const double by_progress =
+        ToSeconds(run_time) * (kAllPercent - run->second.percent) / kAllPercent;
+    const double by_time =
+        ToSeconds(run_time - (now - run->second.first_seen_at));
+    left = std::min({left, by_progress, by_time});
+    break;  // The members of a gang start together.
+  }
+  return std::max(left, 0.0);
+}
+
+void AddStep(Time now,
+             const Ledger& ledger,
+             const JobView& view,
+             TaskRef task,
+             ServiceLoad& out) {
+  const auto k = static_cast<std::size_t>(task.occurrence);
+  const auto s = static_cast<std::size_t>(task.step);
+  const JobStep& step = view.job.request.steps[s];
+  const std::vector<RunUnit>& units = view.job.occurrences[k][s].units;
+  double waiting = 0;
+  double running = 0;
+  for (std::size_t u = 0; u < units.size(); ++u) {
+    const RunUnit& unit = units[u];
+    task.index = static_cast<std::int32_t>(u);
+    if (unit.phase == RunUnit::Phase::kRunning) {
+      running += unit.unfinished_members *
+                 SecondsLeft(now, ledger, task, unit, view.run_times[s]);
+    } else if (unit.phase == RunUnit::Phase::kWaiting && view.counts_waiting) {
+      waiting += (step.gang ? step.tasks : 1) * ToSeconds(view.run_times[s]);
+    }
+  }
+  for (const auto& [is_running, seconds] :
+       {std::pair(false, waiting), std::pair(true, running)}) {
+    if (seconds > 0) {
+      out.work.push_back(MakeWork(view, step, is_running, seconds));
+      out.accounts.insert(view.job.request.account);
+    }
+  }
+}
+
+}  // namespace
+
+Resources NeedOnWorker(const JobStep& step) {
+  Resources need = step.need;
+  if (step.uses_idle_cpu) {
+    need.cpu_milli = 0;
+  }
+  return need;
+}
+
+Duration LongestChain(const JobRequest& request,
+                      const std::vector<Duration>& run_times) {
+  std::vector<Duration> ends;  // Steps depend on earlier ones only.
+  Duration longest{0};
+  for (std::size_t s = 0; s < request.steps.size(); ++s) {
+    Duration start{0};
+    for (const std::int32_t dependency : request.steps[s].after) {
+      start = std::max(start, ends[static_cast<std::size_t>(dependency)]);
+    }
+    ends.push_back(start + run_times[s]);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+LoadSnapshot MeasureLoad(Time now,
+                         const Ledger& ledger,
+                         Duration default_estimate) {
+  LoadSnapshot out{.measured_at = now, .is_measured = true};
+  StepTimes times(ledger, default_estimate);
+  for (const std::string& id : ledger.open_jobs()) {
+    const LedgerJob& job = ledger.jobs().at(id);
+    const JobView view = Describe(now, job, times, default_estimate);
+    ServiceLoad& service = out.services[job.request.terms.service];
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+      for (std::size_t s = 0; s < job.request.steps.size(); ++s) {
+        if (!job.request.steps[s].long_running) {
+          AddStep(now, ledger, view,
+                  {.job = id,
+                   .occurrence = static_cast<std::int32_t>(k),
+                   .step = static_cast<std::int32_t>(s)},
+                  service);
+        }
+      }
+    }
+  }
+  return out;
+}
+
+}  // namespace marjoramplank
--- a/src/dispatch/fair_share.cc
+++ b/src/dispatch/fair_share.cc
@@ -4,8 +4,6 @@
 #include <limits>
 #include <map>
 #include <string>
-#include <tuple>
-#include <unordered_map>
 
 #include "src/dispatch/placement.h"
 
@@ -51,16 +49,40 @@
              : static_cast<double>(demand) / static_cast<double>(capacity);
 }
 
+// Spares most searches by name: units of a job mostly follow each other.
+class UseOfJob {
+ public:
+  explicit UseOfJob(ServiceUses& services) : services_(services) {}
+
+  void Select(const LedgerJob* job) {
+    if (job == job_) {
+      return;
+    }
+    job_ = job;
+    service_ = &services_[job->request.terms.service];
+    account_ = &service_->accounts[job->request.account];
+  }
+  ServiceUse& service() const { return *service_; }
+  AccountUse& account() const { return *account_; }
+
+ private:
+  ServiceUses& services_;
+  const LedgerJob* job_ = nullptr;
+  ServiceUse* service_ = nullptr;
+  AccountUse* account_ = nullptr;
+};
+
 void AddWaitingUnits(const std::vector<WaitingUnit>& units,
                      ServiceUses& services) {
+  UseOfJob use(services);
   for (const WaitingUnit& unit : units) {
-    const JobRequest& r = unit.job->request;
-    ServiceUse& service = services[r.terms.service];
-    AccountUse& account = service.accounts[r.account];
+    use.Select(unit.job);
+    AccountUse& account = use.account();
     const Resources need = Times(unit.member_need, unit.member_count);
     const double amount = CoreEquivalent(need);
-    service.waiting_accounts += account.waiting == 0 && amount > 0 ? 1 : 0;
-    service.demand += need;
+    use.service().waiting_accounts +=
+        account.waiting == 0 && amount > 0 ? 1 : 0;
+    use.service().demand += need;
     account.waiting += amount;
     account.waiting_guaranteed += unit.is_guaranteed ? amount : 0;
   }
@@ -181,25 +203,16 @@
 // Returns true if any unit was marked.
 bool MarkUnits(ServiceUses& services, std::vector<WaitingUnit>& units) {
   bool is_any_marked = false;
-  // Spares a search by name for each unit.
-  struct Use {
-    ServiceUse* service = nullptr;
-    AccountUse* account = nullptr;
-  };
-  std::unordered_map<const LedgerJob*, Use> by_job;
+  UseOfJob use(services);
   for (WaitingUnit& unit : units) {
-    Use& use = by_job[unit.job];
-    if (use.service == nullptr) {
-      use.service = &services.at(unit.job->request.terms.service);
-      use.account = &use.service->accounts.at(unit.job->request.account);
-    }
     if (unit.is_guaranteed) {
       continue;
     }
-    unit.exceeds_fair_share = use.account->used >= use.service->share;
+    use.Select(unit.job);
+    AccountUse& account = use.account();
+    unit.exceeds_fair_share = account.used >= use.service().share;
     is_any_marked = is_any_marked || unit.exceeds_fair_share;
-    use.account->used +=
-        CoreEquivalent(Times(unit.member_need, unit.member_count));
+    account.used += CoreEquivalent(Times(unit.member_need, unit.member_count));
   }
   return is_any_marked;
 }
@@ -213,13 +226,18 @@
   if (services.empty() || !MarkUnits(services, units)) {
     return;
   }
-  const auto rank = [](const WaitingUnit& u) {
-    return std::tuple(!u.is_guaranteed, u.job->request.terms.priority,
-                      u.outlook, u.exceeds_fair_share);
+  const auto competes_with = [](const WaitingUnit& a, const WaitingUnit& b) {
+    return a.is_guaranteed == b.is_guaranteed && a.outlook == b.outlook &&
+           a.job->request.terms.priority == b.job->request.terms.priority;
   };
-  std::stable_sort(
-      units.begin(), units.end(),
-      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  for (auto first = units.begin(); first != units.end();) {
+    const auto last = std::find_if_not(
+        first, units.end(),
+        [&](const WaitingUnit& u) { return competes_with(*first, u); });
+    std::stable_partition(first, last,
+                          [](const auto& u) { return !u.exceeds_fair_share; });
+    first = last;
+  }
 }
 
 }  // namespace marjoramplank
--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -35,7 +35,8 @@
       rules_(rules),
       ledger_(ledger),
       writer_(writer),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      admission_gate_(options_.admission, ledger, metrics) {}
 
 ClientResponse JobService::RejectWithRetry(const std::string& reason,
                                            Duration retry_after) const {
@@ -95,6 +96,30 @@
                               options_.response_margin);
 }
 
+ClientResponse JobService::CheckCapacity(const ClientRequest& call,
+                                         const JobRequest& request) {
+  // Half of the time is left for the append, if the job is accepted.
+  const Time now = BootClockNow();
+  const AdmissionDecision decision =
+      admission_gate_.Decide(request, *rules_.view(), call.received_at,
+                             now + (AppendDeadline(call) - now) / 2);
+  if (decision.verdict == AdmissionDecision::Verdict::kAccept) {
+    return {};
+  }
+  LogEvent("submit_refused")
+      .With("job", request.id)
+      .With("queue", request.terms.queue)
+      .With("account", request.account)
+      .With("priority", request.terms.priority)
+      .With("cause", ToString(decision.verdict))
+      .With("reason", decision.reason)
+      .With("expected_wait_ms", decision.expected_wait.count())
+      .With("retry_after_ms", decision.retry_after.count())
+      .With("age_ms", (BootClockNow() - ledger_.view().as_of).count())
+      .With("took_ms", (BootClockNow() - call.received_at).count());
+  return RejectWithRetry(decision.reason, decision.retry_after);
+}
+
 ClientResponse JobService::Submit(const ClientRequest& call,
                                   const BodyParser& parse_body) {
   const Admission admission = Admit(call);
@@ -124,10 +149,17 @@
     return RejectWithRetry("the log cannot be reached",
                            options_.retry_after_outage);
   }
+  if (ClientResponse rejection = CheckCapacity(call, request);
+      rejection.kind != ClientResponse::Kind::kOk) {
+    return rejection;
+  }
   const std::string id = request.id;
   const JobStep first_step = request.steps.front();
+  admission_gate_.BeginSubmission(id);
   const LedgerWriter::Outcome outcome = writer_.AppendAndWait(
       JobSubmitted{.request = std::move(request)}, AppendDeadline(call));
+  admission_gate_.EndSubmission(id, outcome != LedgerWriter::Outcome::kUnknown,
+                                BootClockNow());
   LogEvent("submit")
       .With("job", id)
       .With("queue", admission.queue.terms.queue)
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -6,6 +6,7 @@
 
 #include "src/jobs/job_request.h"
 #include "src/jobs/ledger.h"
+#include "src/node/admission_gate.h"
 #include "src/node/rules_follower.h"
 #include "src/store/ledger_follower.h"
 #include "src/store/ledger_writer.h"
@@ -60,6 +61,7 @@
     // Retry-After while the log or the rules are unreachable: outages last
     // seconds, and callers retry only a few times.
     Duration retry_after_outage{2000};
+    AdmissionGate::Options admission;
   };
 
   JobService(Options options,
@@ -92,12 +94,16 @@
   ClientResponse RejectWithRetry(const std::string& reason,
                                  Duration retry_after) const;
   Time AppendDeadline(const ClientRequest& call) const;
+  // Kind kOk if the job is accepted: see AdmissionGate.
+  ClientResponse CheckCapacity(const ClientRequest& call,
+                               const JobRequest& request);
 
   const Options options_;
   const RulesFollower& rules_;
   const LedgerFollower& ledger_;
   LedgerWriter& writer_;
   Metrics& metrics_;
+  AdmissionGate admission_gate_;
 };
 
 }  // namespace marjoramplank
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -46,6 +46,9 @@
     {"tasks_stopped_total", "Tasks stopped on request"},
     {"lease_lapses_total", "Tasks whose lease lapsed"},
     {"worker_crashes_total", "Workers whose process ended unannounced"},
+    {"submits_unrunnable_total", "Refused: no known worker could ever run it"},
+    {"submits_too_late_total", "Refused: could not end while it earns credit"},
+    {"submits_unconfirmed_total", "Not refused, for want of a current ledger"},
 };
 
 constexpr MetricInfo kGauges[] = {
@@ -59,6 +62,9 @@
     {"pending_appends", "Records waiting to be appended"},
     {"live_jobs", "Jobs on the log that have not ended"},
     {"unmet_guarantees", "Promises that live workers cannot hold"},
+    {"expected_wait_ms_priority_0", "Expected wait of a new job, priority 0"},
+    {"expected_wait_ms_priority_1", "Expected wait of a new job, priority 1"},
+    {"expected_wait_ms_priority_2", "Expected wait of a new job, priority 2"},
 };
 
 constexpr MetricInfo kLatencies[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -35,12 +35,17 @@
   kOwnershipChanges,  // Regions acquired or released.
   kMessagesIn,
   kMessagesOut,
-  kMessagesDropped,  // Peer too slow, or not connected.
-  kTasksStarted,     // Agent: tasks passed to the worker.
-  kTasksRefused,     // Agent: tasks that the worker refused.
-  kTasksStopped,     // Agent: tasks stopped on request.
-  kLeaseLapses,      // Agent: tasks whose lease expired.
-  kWorkerCrashes,    // Planner: workers that crashed.
+  kMessagesDropped,    // Peer too slow, or not connected.
+  kTasksStarted,       // Agent: tasks passed to the worker.
+  kTasksRefused,       // Agent: tasks that the worker refused.
+  kTasksStopped,       // Agent: tasks stopped on request.
+  kLeaseLapses,        // Agent: tasks whose lease expired.
+  kWorkerCrashes,      // Planner: workers that crashed.
+  kSubmitsUnrunnable,  // Rejected: no known worker could ever run the job.
+  kSubmitsTooLate,     // Rejected: could not end while it earns credit.
+  // Accepted although admission would reject them: it could not be shown that
+  // no other entry had accepted them.
+  kSubmitsUnconfirmed,
   kCount,
 };
 
@@ -55,6 +60,11 @@
   kPendingAppends,   // Records waiting to be appended to the log.
   kLiveJobs,         // Jobs in the log that have not ended.
   kUnmetGuarantees,  // Guarantees that the live workers cannot satisfy.
+  // Expected wait of a new job at the last measurement, in the service where it
+  // is longest; by priority, from 2 on together.
+  kExpectedWaitMs0,
+  kExpectedWaitMs1,
+  kExpectedWaitMs2,
   kCount,
 };
 
--- a/tests/property/fair_share_property_test.cc
+++ b/tests/property/fair_share_property_test.cc
@@ -84,6 +84,7 @@
 std::vector<RandomJob> MakeJobs(int max_jobs, int max_tasks) {
   std::vector<RandomJob> jobs;
   const int count = *rc::gen::inRange(1, max_jobs + 1);
+  jobs.reserve(static_cast<std::size_t>(count));
   for (int n = 0; n < count; ++n) {
     jobs.push_back(MakeJob(max_tasks));
   }
--- a/tests/unit/fair_share_test.cc
+++ b/tests/unit/fair_share_test.cc
@@ -38,16 +38,17 @@
   }
 
   std::string Submit(const std::string& account,
-                     JobStep step,
+                     const JobStep& shape,
                      Duration waited = 0s,
                      std::int32_t priority = 1) {
+    JobStep step = shape;
     step.estimate = 2s;
-    const std::string id = account + "-" + std::to_string(submitted++);
+    std::string id = account + "-" + std::to_string(submitted++);
     REQUIRE(ledger.Apply(
         kNow - waited, JobSubmitted{.request = {.id = id,
                                                 .account = account,
                                                 .payload = "p",
-                                                .steps = {std::move(step)},
+                                                .steps = {step},
                                                 .terms = {.queue = "q",
                                                           .service = "s",
                                                           .priority = priority,
