--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "src/dispatch/deadline.h"
+#include "src/dispatch/fair_share.h"
 #include "src/dispatch/speed_choice.h"
 
 namespace marjoramplank {
@@ -280,6 +281,7 @@
   };
   std::sort(out.begin(), out.end(),
             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  OrderByFairShare(in.ledger, in.rules, out);
   return out;
 }
 
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -23,6 +23,8 @@
   // runs on such machines.
   Duration remaining{0};
   Time planned_at{0};
+  // Its account already uses its fair share: see OrderByFairShare().
+  bool exceeds_fair_share = false;
   // When its capacity is free again, with a margin, if it starts now on such
   // machines; kNever for tasks that last.
   Time expected_end = kNever;
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -50,6 +50,9 @@
     {"slow_starts_total", "Starts with a member on a slow machine"},
     {"fast_waits_total",
      "Waits for fast machines, once a second for each unit"},
+    {"submits_unrunnable_total", "Refused: no known worker could ever run it"},
+    {"submits_too_late_total", "Refused: could not end while it earns credit"},
+    {"submits_unconfirmed_total", "Not refused, for want of a current ledger"},
 };
 
 constexpr MetricInfo kGauges[] = {
@@ -65,6 +68,9 @@
     {"unmet_guarantees", "Promises that live workers cannot hold"},
     {"machines_measured", "Machines of which run times are known"},
     {"slow_machines", "Machines believed to be slower than usual"},
+    {"expected_wait_ms_priority_0", "Expected wait of a new job, priority 0"},
+    {"expected_wait_ms_priority_1", "Expected wait of a new job, priority 1"},
+    {"expected_wait_ms_priority_2", "Expected wait of a new job, priority 2"},
 };
 
 constexpr MetricInfo kLatencies[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -44,6 +44,11 @@
   kRunTimeSamples,   // Planner: run times that the run-time model has taken.
   kSlowStarts,       // Planner: starts with a member on a slow machine.
   kFastWaits,  // Planner: waits for fast machines, once a second for each unit.
+  kSubmitsUnrunnable,  // Rejected: no known worker could ever run the job.
+  kSubmitsTooLate,     // Rejected: could not end while it earns credit.
+  // Accepted although admission would reject them: it could not be shown that
+  // no other entry had accepted them.
+  kSubmitsUnconfirmed,
   kCount,
 };
 
@@ -60,6 +65,11 @@
   kUnmetGuarantees,   // Guarantees that the live workers cannot satisfy.
   kMachinesMeasured,  // Planner: machines of which run times are known.
   kSlowMachines,      // Planner: machines that are believed slow.
+  // Expected wait of a new job at the last measurement, in the service where it
+  // is longest; by priority, from 2 on together.
+  kExpectedWaitMs0,
+  kExpectedWaitMs1,
+  kExpectedWaitMs2,
   kCount,
 };
 
