--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -290,9 +290,13 @@
   return true;
 }
 
-Duration Scaled(Duration d, double factor) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(d.count()) * factor));
+StepTimes DeclaredTimes(const JobRequest& request, Duration default_estimate) {
+  StepTimes out;
+  for (const JobStep& step : request.steps) {
+    out.push_back(step.estimate > Duration(0) ? step.estimate
+                                              : default_estimate);
+  }
+  return out;
 }
 
 AdmissionDecision CheckCredit(const AdmissionInput& in,
@@ -303,25 +307,22 @@
     return {};
   }
   const JobRequest& r = in.request;
-  std::vector<Duration> run_times;
-  for (std::size_t s = 0; s < r.steps.size(); ++s) {
-    run_times.push_back(
-        in.ledger.run_times().Expected(r, s, options.default_estimate));
-  }
-  const Duration learned_path = LongestChain(r, run_times);
+  const Duration learned_path = CriticalPath(
+      r, ExpectedStepTimes(in.ledger.run_times(), r, options.default_estimate));
   // Declared times are off in both directions, and the objective is the longer
   // one if in doubt.
   const Duration path =
-      std::max(learned_path, CriticalPath(r, options.default_estimate));
-  const Duration objective = Scaled(path, r.terms.stretch) + r.terms.target;
+      std::max(learned_path,
+               CriticalPath(r, DeclaredTimes(r, options.default_estimate)));
+  const Duration objective = ScaledBy(r.terms.stretch, path) + r.terms.target;
   const Duration limit = objective * kLateCreditFactor;
   const Duration wait = WaitOf(in, in.now + objective);
   if (wait <= Duration(0) ||
-      Scaled(wait, options.counted_wait) + learned_path <= limit) {
+      ScaledBy(options.counted_wait, wait) + learned_path <= limit) {
     return {.expected_wait = wait};
   }
   const Duration longest_wait = std::max(
-      Duration(0), Scaled(limit - learned_path, 1 / options.counted_wait));
+      Duration(0), ScaledBy(1 / options.counted_wait, limit - learned_path));
   return {
       .verdict = AdmissionDecision::Verdict::kTooLate,
       .reason = "the work that is queued ahead takes about " +
--- a/src/admission/service_load.cc
+++ b/src/admission/service_load.cc
@@ -13,9 +13,9 @@
 
 // Predicts run times of steps. Those of steps without a run depend on the queue
 // and the declared time only and are computed once.
-class StepTimes {
+class QueuedStepTimes {
  public:
-  StepTimes(const Ledger& ledger, Duration default_estimate)
+  QueuedStepTimes(const Ledger& ledger, Duration default_estimate)
       : model_(ledger.run_times()), default_estimate_(default_estimate) {}
 
   Duration Of(const LedgerJob& job, std::size_t step) {
@@ -39,18 +39,15 @@
 
 struct JobView {
   const LedgerJob& job;
-  std::vector<Duration> run_times;  // Of its steps.
+  StepTimes run_times;
   Time deadline{0};
   bool counts_waiting = true;
 };
 
-JobView Describe(Time now,
-                 const LedgerJob& job,
-                 StepTimes& times,
-                 Duration default_estimate) {
+JobView Describe(Time now, const LedgerJob& job, QueuedStepTimes& times) {
   const JobRequest& r = job.request;
   JobView out{.job = job};
-  std::vector<Duration> remaining;
+  StepTimes remaining;
   for (std::size_t s = 0; s < r.steps.size(); ++s) {
     out.run_times.push_back(times.Of(job, s));
     const StepState& state = job.occurrences.front()[s];
@@ -58,16 +55,13 @@
         state.done_units == static_cast<std::int32_t>(state.units.size());
     remaining.push_back(is_done ? Duration(0) : out.run_times.back());
   }
-  const Duration critical_path = CriticalPath(r, default_estimate);
-  out.deadline =
-      job.first_seen_at +
-      Duration(static_cast<std::int64_t>(
-          static_cast<double>(critical_path.count()) * r.terms.stretch)) +
-      r.terms.target;
+  out.deadline = job.first_seen_at +
+                 ScaledBy(r.terms.stretch, CriticalPath(r, out.run_times)) +
+                 r.terms.target;
   out.counts_waiting =
       r.recurrence.occurrence_count == 0 &&
       AssessDeadline(now, job.first_seen_at, out.deadline,
-                     LongestChain(r, remaining)) != DeadlineOutlook::kNoCredit;
+                     CriticalPath(r, remaining)) != DeadlineOutlook::kNoCredit;
   return out;
 }
 
@@ -157,29 +151,14 @@
   return need;
 }
 
-Duration LongestChain(const JobRequest& request,
-                      const std::vector<Duration>& run_times) {
-  std::vector<Duration> ends;  // Steps depend on earlier ones only.
-  Duration longest{0};
-  for (std::size_t s = 0; s < request.steps.size(); ++s) {
-    Duration start{0};
-    for (const std::int32_t dependency : request.steps[s].after) {
-      start = std::max(start, ends[static_cast<std::size_t>(dependency)]);
-    }
-    ends.push_back(start + run_times[s]);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 LoadSnapshot MeasureLoad(Time now,
                          const Ledger& ledger,
                          Duration default_estimate) {
   LoadSnapshot out{.measured_at = now, .is_measured = true};
-  StepTimes times(ledger, default_estimate);
+  QueuedStepTimes times(ledger, default_estimate);
   for (const std::string& id : ledger.open_jobs()) {
     const LedgerJob& job = ledger.jobs().at(id);
-    const JobView view = Describe(now, job, times, default_estimate);
+    const JobView view = Describe(now, job, times);
     ServiceLoad& service = out.services[job.request.terms.service];
     for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
       for (std::size_t s = 0; s < job.request.steps.size(); ++s) {
--- a/src/admission/service_load.h
+++ b/src/admission/service_load.h
@@ -42,10 +42,6 @@
                          const Ledger& ledger,
                          Duration default_estimate);
 
-// Longest chain of steps, each of which takes the time given.
-Duration LongestChain(const JobRequest& request,
-                      const std::vector<Duration>& run_times);
-
 // Resources that a task of the step takes from a worker.
 Resources NeedOnWorker(const JobStep& step);
 
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -120,13 +120,6 @@
   std::vector<LedgerRecord>& out;
 };
 
-// In the order of units; those that wait are to be planned.
-struct Dispatcher::WaitingStep {
-  WaitingUnit first;  // Of all units, but for `unit` and the task's index.
-  const std::vector<RunUnit>* units = nullptr;
-  std::size_t waiting_units = 0;
-};
-
 bool Dispatcher::IsQuarantined(const Input& in,
                                const LedgerAgent& agent,
                                const LedgerWorker& worker) const {
@@ -259,7 +252,7 @@
   }
 }
 
-std::vector<Dispatcher::WaitingStep> Dispatcher::SortedWaitingSteps(
+std::vector<WaitingStep> Dispatcher::SortedWaitingSteps(
     const Input& in,
     StepTimeCache& step_times,
     const std::set<std::string>& guaranteed_jobs) const {
@@ -565,11 +558,16 @@
 
 void Dispatcher::PlanStep(PlanState& state, const WaitingStep& step) const {
   WaitingUnit unit = step.first;
+  std::size_t seen = 0;
   for (std::size_t n = 0; n < step.units->size(); ++n) {
     unit.unit = &(*step.units)[n];
-    if (unit.unit->phase != RunUnit::Phase::kWaiting) {
+    if (unit.unit->phase != RunUnit::Phase::kWaiting ||
+        ++seen <= step.skipped_units) {
       continue;
     }
+    if (seen > step.skipped_units + step.waiting_units) {
+      return;
+    }
     unit.first_task.index = static_cast<std::int32_t>(n);
     unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
     if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -119,7 +119,6 @@
 
  private:
   struct PlanState;
-  struct WaitingStep;
 
   CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in,
--- a/src/dispatch/fair_share.cc
+++ b/src/dispatch/fair_share.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/fair_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <string>
@@ -72,19 +73,23 @@
   AccountUse* account_ = nullptr;
 };
 
-void AddWaitingUnits(const std::vector<WaitingUnit>& units,
+Resources NeedOfUnit(const WaitingUnit& unit) {
+  return Times(unit.member_need, unit.member_count);
+}
+
+void AddWaitingSteps(const std::vector<WaitingStep>& steps,
                      ServiceUses& services) {
-  UseOfJob use(services);
-  for (const WaitingUnit& unit : units) {
-    use.Select(unit.job);
-    AccountUse& account = use.account();
-    const Resources need = Times(unit.member_need, unit.member_count);
+  for (const WaitingStep& step : steps) {
+    const JobRequest& r = step.first.job->request;
+    ServiceUse& service = services[r.terms.service];
+    AccountUse& account = service.accounts[r.account];
+    const Resources need = Times(NeedOfUnit(step.first),
+                                 static_cast<std::int64_t>(step.waiting_units));
     const double amount = CoreEquivalent(need);
-    use.service().waiting_accounts +=
-        account.waiting == 0 && amount > 0 ? 1 : 0;
-    use.service().demand += need;
+    service.waiting_accounts += account.waiting == 0 && amount > 0 ? 1 : 0;
+    service.demand += need;
     account.waiting += amount;
-    account.waiting_guaranteed += unit.is_guaranteed ? amount : 0;
+    account.waiting_guaranteed += step.first.is_guaranteed ? amount : 0;
   }
 }
 
@@ -178,9 +183,9 @@
 
 ServiceUses MeasureServices(const Ledger& ledger,
                             const RulesView& rules,
-                            const std::vector<WaitingUnit>& units) {
+                            const std::vector<WaitingStep>& steps) {
   ServiceUses services;
-  AddWaitingUnits(units, services);
+  AddWaitingSteps(steps, services);
   if (std::none_of(services.begin(), services.end(), [](const auto& entry) {
         return entry.second.waiting_accounts > 1;
       })) {
@@ -200,44 +205,69 @@
   return services;
 }
 
-// Returns true if any unit was marked.
-bool MarkUnits(ServiceUses& services, std::vector<WaitingUnit>& units) {
-  bool is_any_marked = false;
-  UseOfJob use(services);
-  for (WaitingUnit& unit : units) {
-    if (unit.is_guaranteed) {
+// Number of the step's units before which the account uses less than its share.
+std::size_t UnitsWithinShare(const WaitingStep& step,
+                             const AccountUse& account,
+                             double share) {
+  const double room = share - account.used;
+  const double amount = CoreEquivalent(NeedOfUnit(step.first));
+  if (room <= 0) {
+    return 0;
+  }
+  const double units = amount > 0 ? std::ceil(room / amount) : kUnlimited;
+  return units < static_cast<double>(step.waiting_units)
+             ? static_cast<std::size_t>(units)
+             : step.waiting_units;
+}
+
+// Marks the steps, and splits those of which only some units are marked.
+std::vector<WaitingStep> Mark(ServiceUses& services,
+                              const std::vector<WaitingStep>& steps) {
+  std::vector<WaitingStep> out;
+  out.reserve(steps.size());
+  for (const WaitingStep& step : steps) {
+    const JobRequest& r = step.first.job->request;
+    ServiceUse& service = services.at(r.terms.service);
+    AccountUse& account = service.accounts.at(r.account);
+    if (step.first.is_guaranteed) {
+      out.push_back(step);
       continue;
     }
-    use.Select(unit.job);
-    AccountUse& account = use.account();
-    unit.exceeds_fair_share = account.used >= use.service().share;
-    is_any_marked = is_any_marked || unit.exceeds_fair_share;
-    account.used += CoreEquivalent(Times(unit.member_need, unit.member_count));
+    const std::size_t within = UnitsWithinShare(step, account, service.share);
+    if (within > 0) {
+      out.push_back(step);
+      out.back().waiting_units = within;
+    }
+    if (within < step.waiting_units) {
+      out.push_back(step);
+      out.back().first.exceeds_fair_share = true;
+      out.back().skipped_units += within;
+      out.back().waiting_units -= within;
+    }
+    account.used += CoreEquivalent(NeedOfUnit(step.first)) *
+                    static_cast<double>(step.waiting_units);
   }
-  return is_any_marked;
+  return out;
 }
 
 }  // namespace
 
 void OrderByFairShare(const Ledger& ledger,
                       const RulesView& rules,
-                      std::vector<WaitingUnit>& units) {
-  ServiceUses services = MeasureServices(ledger, rules, units);
-  if (services.empty() || !MarkUnits(services, units)) {
+                      std::vector<WaitingStep>& steps) {
+  ServiceUses services = MeasureServices(ledger, rules, steps);
+  if (services.empty()) {
     return;
   }
-  const auto competes_with = [](const WaitingUnit& a, const WaitingUnit& b) {
-    return a.is_guaranteed == b.is_guaranteed && a.outlook == b.outlook &&
-           a.job->request.terms.priority == b.job->request.terms.priority;
+  steps = Mark(services, steps);
+  const auto rank = [](const WaitingStep& s) {
+    const WaitingUnit& u = s.first;
+    return std::tuple(!u.is_guaranteed, u.job->request.terms.priority,
+                      u.outlook, u.exceeds_fair_share);
   };
-  for (auto first = units.begin(); first != units.end();) {
-    const auto last = std::find_if_not(
-        first, units.end(),
-        [&](const WaitingUnit& u) { return competes_with(*first, u); });
-    std::stable_partition(first, last,
-                          [](const auto& u) { return !u.exceeds_fair_share; });
-    first = last;
-  }
+  std::stable_sort(
+      steps.begin(), steps.end(),
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
 }
 
 }  // namespace marjoramplank
--- a/src/dispatch/fair_share.h
+++ b/src/dispatch/fair_share.h
@@ -16,8 +16,9 @@
 // that come earlier in the order. What runs or waits within the account's
 // guarantee is its own and does not count.
 //
-// `units` must be sorted. Units that find their account at or beyond its share
-// are marked and moved behind the others of the same priority and outlook.
+// `steps` must be sorted. Units that find their account at or beyond its share
+// are marked and moved behind the others of the same priority and outlook; a
+// step of which this holds for some units only is split.
 // Nothing else changes: the units of one account keep their order, as do
 // guaranteed units, and all units if capacity suffices.
 //
@@ -25,6 +26,6 @@
 // count against itself.
 void OrderByFairShare(const Ledger& ledger,
                       const RulesView& rules,
-                      std::vector<WaitingUnit>& units);
+                      std::vector<WaitingStep>& steps);
 
 }  // namespace marjoramplank
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <vector>
+
 #include "src/dispatch/deadline.h"
 #include "src/jobs/ledger.h"
 
@@ -39,4 +42,13 @@
   }
 };
 
+// Units that wait of one step of an occurrence, in their order: all of them, or
+// those after some that are planned before.
+struct WaitingStep {
+  WaitingUnit first;  // Of all units, but for `unit` and the task's index.
+  const std::vector<RunUnit>* units = nullptr;  // Also those that don't wait.
+  std::size_t skipped_units = 0;  // Of those that wait, planned elsewhere.
+  std::size_t waiting_units = 0;  // To be planned.
+};
+
 }  // namespace marjoramplank
