--- a/tests/unit/run_time_model_test.cc
+++ b/tests/unit/run_time_model_test.cc
@@ -497,8 +497,10 @@
 TEST_CASE("run-time model: cost of a sample", "[.][run_times_cost]") {
   for (const int width : {5, 39, 64}) {
     std::mt19937 random(1);
+    constexpr int kSamples = 100'000;
     std::vector<RunTimeModel::Sample> samples;
-    for (int n = 0; n < 100'000; ++n) {
+    samples.reserve(kSamples);
+    for (int n = 0; n < kSamples; ++n) {
       samples.push_back(MakeSample("job-" + std::to_string(n / width),
                                    n % width,
                                    static_cast<int>(random() % 19'000),
