Supervisor: an end that came after its task may have started again is not acknowledged under its lease

What callers saw (simulation.long_suspensions, rule TWICE): a task starts after a run of it has ended as done and the end was taken note of.

The run ended while its agent was restarting, or 2 ms after its machine woke, and the machine was suspended for over 14 s before the agent could list it; the planner had given the task away. So there was no listed end to honour. What was wrong came after: the agent acknowledged the end. The platform takes an acknowledged end for final unless the lease has lapsed since, and the lease had stood still in the suspension.

Change: the ledger keeps the number of an end that was recorded after its run had been taken from the worker, if the task may have started since, or the run failed. While the worker lists such an end and a lease may stand, its agent acknowledges nothing, grants no lease, starts nothing and reports the worker as not accepting. That lasts for a lease at most, and only after a silence for which the planner gave the tasks away while a lease stood.

The window in which two runs are at work was not made shorter: the stop by the agent is already the first thing that it sends.

--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -230,6 +230,7 @@
   runs @3 : List(LiveRun);
   failedInRow @4 : Int32;
   refusedInRow @5 : Int32;
+  lastOvertakenEnd @6 : Int64;
 }
 
 struct AgentState {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -361,11 +361,15 @@
     return false;
   }
   LedgerWorker& worker = it->second;
+  const bool is_new = r.end_number > worker.last_end_number;
   worker.last_end_number = std::max(worker.last_end_number, r.end_number);
   if (r.outcome == TaskOutcome::kDone) {
     LearnRunTime(now, worker, r.task, r.run, r.run_time);
   }
   if (!ReleaseRun(worker, r.task, r.run)) {
+    if (is_new && IsOvertaken(r)) {
+      worker.last_overtaken_end = r.end_number;
+    }
     return FinishGivenAwayRun(r);
   }
   if (r.outcome == TaskOutcome::kDone) {
@@ -589,6 +593,15 @@
   return true;
 }
 
+bool Ledger::IsOvertaken(const TaskEnded& r) const {
+  // Failures of given-away runs are not counted, so the task starts again.
+  if (r.outcome != TaskOutcome::kDone) {
+    return r.outcome == TaskOutcome::kFailed;
+  }
+  const RunUnit* unit = FindUnit(r.task);
+  return unit == nullptr || unit->run > r.run;
+}
+
 void Ledger::StopMembers(const TaskRef& first, const RunUnit& unit) {
   for (const MemberPlace& m : unit.members) {
     const auto worker = workers_.find(m.incarnation);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -97,6 +97,10 @@
   bool incarnation_ended = false;  // The incarnation has ended.
   // Highest number of an ended run on the log.
   std::int64_t last_end_number = 0;
+  // Highest number of an end, as done or failed, of a run that the ledger had
+  // taken from the worker before. The task may have started again, so the end
+  // must not be acknowledged under a lease that makes it count.
+  std::int64_t last_overtaken_end = 0;
   Resources used;  // Sum over `runs`.
   std::map<TaskRef, LiveRun> runs;
   // Failed tasks since the last success.
@@ -245,6 +249,9 @@
   // A run that the worker does not hold any more has ended as done all the
   // same: so has its task, and a later run is stopped.
   bool FinishGivenAwayRun(const TaskEnded& r);
+  // True if the task of a given-away run may start, or have started, after
+  // this end of it.
+  bool IsOvertaken(const TaskEnded& r) const;
   void StopMembers(const TaskRef& first, const RunUnit& unit);
   void EndJob(LedgerJob& job, JobPhase phase);
   // Ends every run on the worker as if its lease had expired.
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -150,6 +150,7 @@
   ToWire(in.report, out.initReport());
   out.setGone(in.incarnation_ended);
   out.setLastEnd(in.last_end_number);
+  out.setLastOvertakenEnd(in.last_overtaken_end);
   out.setFailedInRow(in.consecutive_failures);
   out.setRefusedInRow(in.consecutive_refusals);
   auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
@@ -170,6 +171,7 @@
   }
   out.incarnation_ended = in.getGone();
   out.last_end_number = in.getLastEnd();
+  out.last_overtaken_end = in.getLastOvertakenEnd();
   out.consecutive_failures = in.getFailedInRow();
   out.consecutive_refusals = in.getRefusedInRow();
   for (const auto r : in.getRuns()) {
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -144,6 +144,10 @@
   last_queued_end_ = 0;
   last_recorded_end_ = 0;
   last_acked_end_ = 0;
+  last_suspected_end_ = 0;
+  last_overtaken_end_ = 0;
+  last_lapsed_end_ = 0;
+  first_listed_end_ = 0;
   has_departed_ = false;
   is_departure_claimed_ = false;
   outdated_.reset();
@@ -199,7 +203,7 @@
 bool Supervisor::IsAcceptingWork(Time now) const {
   return worker_ && !has_departed_ && !worker_->leaving &&
          (!is_adopted_ || was_accepting_) && contact_.heard_at() != Time{0} &&
-         contact_.IsReachable(now);
+         contact_.IsReachable(now) && !HoldsBackEnds(now);
 }
 
 AgentStatement Supervisor::NextStatement() {
@@ -310,6 +314,7 @@
   }
   last_recorded_end_ = std::max(last_recorded_end_, entry->last_end_number);
   last_queued_end_ = std::max(last_queued_end_, last_recorded_end_);
+  last_overtaken_end_ = entry->last_overtaken_end;
   unrecorded_ends_.erase(unrecorded_ends_.begin(),
                          unrecorded_ends_.upper_bound(last_recorded_end_));
   if (!current) {
@@ -358,6 +363,14 @@
 }
 
 void Supervisor::OnRunTaken(const TaskRef& task, const LocalRun& run) {
+  const auto end = std::find_if(
+      unrecorded_ends_.begin(), unrecorded_ends_.end(),
+      [&](const auto& numbered) {
+        return numbered.second.task == task && numbered.second.run == run.run;
+      });
+  if (end != unrecorded_ends_.end()) {
+    last_suspected_end_ = std::max(last_suspected_end_, end->first);
+  }
   if (run.phase == Phase::kPending || run.outcome_queued) {
     return;
   }
@@ -483,7 +496,7 @@
       continue;
     }
     if (!CanRenewLeases(now) || worker_clock_ms_ == 0 || needs_resolution_ ||
-        !given_away_runs_.empty()) {
+        !given_away_runs_.empty() || HoldsBackEnds(now)) {
       continue;
     }
     run.phase = Phase::kStarting;
@@ -510,6 +523,19 @@
          now - last_hold_at_ >= contact_.ListingInterval();
 }
 
+bool Supervisor::HoldsBackEnds(Time now) const {
+  if (contact_.HaveLeasesEnded(now)) {
+    return false;
+  }
+  const bool is_listed =
+      listing_count_ == 0 ||
+      (first_listed_end_ > 0 && first_listed_end_ <= last_overtaken_end_);
+  const bool is_overtaken =
+      is_listed &&
+      last_overtaken_end_ > std::max(last_acked_end_, last_lapsed_end_);
+  return is_overtaken || last_suspected_end_ > last_recorded_end_;
+}
+
 std::optional<HoldCall> Supervisor::NextHold(Time now) {
   OnRunning(now);
   if (fence_ == 0) {
@@ -529,7 +555,12 @@
   }
   const Duration since_last_hold = now - last_hold_at_;
   const bool has_unrecorded_ends = last_queued_end_ > last_recorded_end_;
-  const bool has_unacked_ends = last_recorded_end_ > last_acked_end_;
+  const bool holds_back_ends = HoldsBackEnds(now);
+  if (!holds_back_ends) {
+    last_lapsed_end_ = last_overtaken_end_;
+  }
+  const bool has_unacked_ends =
+      last_recorded_end_ > last_acked_end_ && !holds_back_ends;
   bool has_started_runs = false;
   bool has_stopping_runs = !given_away_runs_.empty();
   for (const auto& [task, run] : runs_) {
@@ -537,12 +568,14 @@
     has_stopping_runs = has_stopping_runs || run.stop_accepted;
   }
   const bool must_raise_fence = needs_resolution_ && resolution_listing_ == 0;
-  if (has_unrecorded_ends && !must_raise_fence && !has_unacked_ends &&
-      since_last_hold < kUnrecordedEndsHoldInterval) {
+  if ((has_unrecorded_ends || holds_back_ends) && !must_raise_fence &&
+      !has_unacked_ends && since_last_hold < kUnrecordedEndsHoldInterval) {
     return std::nullopt;
   }
   HoldCall call{.incarnation = worker_->incarnation,
-                .acked_end = last_recorded_end_};
+                .acked_end = holds_back_ends
+                                 ? std::max<std::int64_t>(last_acked_end_, 0)
+                                 : last_recorded_end_};
   call.resolves_in_doubt = needs_resolution_;
   if (must_raise_fence) {
     ++fence_;
@@ -550,7 +583,7 @@
   call.fence = fence_;
   // The first listing shows whether the worker has runs of others.
   if (has_started_runs && listing_count_ > 0 && given_away_runs_.empty() &&
-      CanRenewLeases(now) && worker_clock_ms_ > 0 &&
+      !holds_back_ends && CanRenewLeases(now) && worker_clock_ms_ > 0 &&
       contact_.MayRenewLeases(now)) {
     call.lease_until = LeaseExpiryMs(now);
     call.renew_before = now + kMaxCommandDelay;
@@ -564,7 +597,7 @@
     call.wait = has_stopping_runs ? kStoppingHoldWait : options_.max_hold_wait;
   }
   last_hold_at_ = now;
-  last_acked_end_ = last_recorded_end_;
+  last_acked_end_ = call.acked_end;
   return call;
 }
 
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -167,6 +167,11 @@
                            const HoldCall& call,
                            const HoldReply& reply);
   bool IsListingDue(Time now) const;
+  // True while the worker lists an end of a run that the ledger had taken from
+  // it before, and a lease may stand. The platform takes an acknowledged end
+  // for final unless the lease has lapsed since, and the task has started
+  // again. Meanwhile no end is acknowledged and nothing grants a lease.
+  bool HoldsBackEnds(Time now) const;
   // True if the heartbeat denies what is known of the present incarnation, and
   // the one before did not deny it in the same way.
   bool IsContradiction(const WorkerHeartbeat& heartbeat);
@@ -265,6 +270,13 @@
   std::int64_t last_queued_end_ = 0;
   std::int64_t last_recorded_end_ = 0;
   std::int64_t last_acked_end_ = 0;
+  // See HoldsBackEnds(): the highest end that may be such a one and is not in
+  // the ledger yet, the highest in the ledger, the highest whose leases have
+  // lapsed, and the lowest end of the last listing (0: none).
+  std::int64_t last_suspected_end_ = 0;
+  std::int64_t last_overtaken_end_ = 0;
+  std::int64_t last_lapsed_end_ = 0;
+  std::int64_t first_listed_end_ = 0;
   std::vector<LedgerRecord> pending_records_;
   std::int64_t last_statement_ = 0;
   std::int64_t worker_clock_ms_ = 0;  // At `worker_clock_at_`. 0: unknown.
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -179,6 +179,7 @@
 void Supervisor::QueueListedEnds(const HoldCall& call, const HoldReply& reply) {
   // A row that cannot be read may be an end.
   bool lists_unacked_end = reply.unreadable_rows > 0;
+  first_listed_end_ = reply.ended.empty() ? 0 : reply.ended.front().end_number;
   for (const TaskEnded& e : reply.ended) {
     lists_unacked_end = lists_unacked_end || e.end_number > call.acked_end;
     if (e.end_number <= last_queued_end_) {
@@ -196,6 +197,8 @@
       // a listing that showed this run at work has been seen.
       ends_seen_before_listing_ =
           std::max(ends_seen_before_listing_, it->second.last_listed_in);
+    } else {
+      last_suspected_end_ = end.end_number;
     }
   }
   if (!lists_unacked_end) {
--- a/src/supervisor/worker_contact.cc
+++ b/src/supervisor/worker_contact.cc
@@ -94,8 +94,12 @@
       kMaxListingInterval);
 }
 
+bool WorkerContact::HaveLeasesEnded(Time now) const {
+  return now > std::max(last_lease_end_, lease_in_flight_);
+}
+
 bool WorkerContact::HaveLeasesExpired(Time now) const {
-  return IsFailing() && now > std::max(last_lease_end_, lease_in_flight_);
+  return IsFailing() && HaveLeasesEnded(now);
 }
 
 }  // namespace marjoramplank
--- a/src/supervisor/worker_contact.h
+++ b/src/supervisor/worker_contact.h
@@ -74,7 +74,9 @@
   Duration ListingInterval() const;
   // The worker's process has ended, and its tasks with it.
   bool HasEnded(Time now) const;
-  // The worker does not answer, and no lease can last until now.
+  // No lease can last until now.
+  bool HaveLeasesEnded(Time now) const;
+  // The same, and the worker does not answer.
   bool HaveLeasesExpired(Time now) const;
 
  private:
--- a/tests/property/job_world_property_test.cc
+++ b/tests/property/job_world_property_test.cc
@@ -186,25 +186,33 @@
   return Join(simulation.Run());
 }
 
-// Guards against runs that go on beside others after a suspension, with agents
-// that restart.
+// Guards against runs that go on beside others after a suspension, and against
+// ends that count as final after their task has started again, with agents that
+// restart.
 TEST_CASE("suspensions beside restarts of agents",
           "[jobs][suspensions_and_restarts]") {
-  const auto seed = GENERATE(as<std::uint32_t>(), 4, 22, 43);
-  const std::string violations =
-      ViolationsBesideRestarts(seed, seed == 43 ? 0.05 : 0);
+  const auto [seed, lost_replies] =
+      GENERATE(table<std::uint32_t, double>({{4, 0},
+                                             {22, 0},
+                                             {25, 0},
+                                             {131, 0},
+                                             {206, 0},
+                                             {43, 0.05},
+                                             {71, 0.05},
+                                             {190, 0.05},
+                                             {293, 0.05}}));
+  const std::string violations = ViolationsBesideRestarts(seed, lost_replies);
   INFO("seed " << seed << "\n" << violations);
   CHECK(violations.empty());
 }
 
-// The same with suspensions of over 15 s, for which the planner does not wait.
-// Known to fail: see KNOWN-RED.txt.
+// The same with a suspension of over 15 s, for which the planner does not wait,
+// and an agent that is still away as its machine wakes. Known to fail: see
+// KNOWN-RED.txt.
 TEST_CASE("long suspensions beside restarts of agents",
           "[.][long_suspensions]") {
-  const auto seed = GENERATE(as<std::uint32_t>(), 25, 131, 71, 83);
-  const std::string violations =
-      ViolationsBesideRestarts(seed, seed == 71 || seed == 83 ? 0.05 : 0);
-  INFO("seed " << seed << "\n" << violations);
+  const std::string violations = ViolationsBesideRestarts(83, 0.05);
+  INFO("seed 83\n" << violations);
   CHECK(violations.empty());
 }
 
--- a/tests/unit/given_away_run_test.cc
+++ b/tests/unit/given_away_run_test.cc
@@ -81,6 +81,10 @@
       NoteLease(hold->lease_until.value_or(0));
       HoldReply reply{.kind = HoldReply::Kind::kOk, .clock_ms = WorkerClock()};
       reply.running = running;
+      std::erase_if(ended, [&](const TaskEnded& e) {
+        return e.end_number <= hold->acked_end;
+      });
+      reply.ended = ended;
       supervisor.OnHoldReply(now, *hold, reply);
     }
   }
@@ -110,8 +114,23 @@
       ReadLedger();
       Command();
       List();
+      Append();
     }
   }
+  void Append() {
+    for (const LedgerRecord& record : supervisor.TakeRecords(now)) {
+      ledger.Apply(now, record);
+    }
+  }
+  // The run ends while the agent does not see it.
+  void End(const RunningTask& run, TaskOutcome outcome) {
+    Forget(run);
+    ended.push_back({.incarnation = kIncarnation,
+                     .end_number = ++ends,
+                     .task = run.task,
+                     .run = run.run,
+                     .outcome = outcome});
+  }
   void Forget(const RunningTask& gone) {
     std::erase_if(running, [&](const RunningTask& t) {
       return t.task == gone.task && t.run == gone.run;
@@ -125,6 +144,8 @@
   Duration clock_lag{0};      // Of the worker's clock, by its suspensions.
   Duration longest_lease{0};  // On the worker's clock.
   std::vector<RunningTask> running;
+  std::vector<TaskEnded> ended;  // Listed until acknowledged.
+  std::int64_t ends = 0;
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
   int renewals = 0;
@@ -293,6 +314,81 @@
   CHECK(rig.longest_lease <= LeaseTiming{}.lease_duration + 50ms);
 }
 
+// Guards against an end that counts as final although its task has started
+// again: the machine was suspended before its agent had seen the end, and the
+// planner gave the task away.
+TEST_CASE("given away: an end that the agent sees too late", "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(2s);
+  REQUIRE(rig.running.size() == 1);
+  const Duration lease = LeaseTiming{}.MaxLeaseDuration();
+  auto outcome = TaskOutcome::kDone;
+  SECTION("as done") {}
+  SECTION("as failed") {
+    outcome = TaskOutcome::kFailed;
+  }
+  rig.End({.task = Task(0), .run = 1}, outcome);
+  rig.Suspend(kSuspension);
+  rig.renewals = 0;
+  rig.GiveAway();
+
+  SECTION("is not acknowledged while a lease may stand") {
+    rig.Order(0, 2);
+    rig.Run(lease - 2s);
+    CHECK(rig.ended.size() == 1);
+    CHECK(rig.renewals == 0);
+    CHECK(rig.starts.size() == 1);
+    CHECK_FALSE(rig.supervisor.IsAcceptingWork(rig.now));
+    SECTION("but then") {
+      rig.Run(3s);
+      CHECK(rig.ended.empty());
+      CHECK(rig.supervisor.IsAcceptingWork(rig.now));
+      rig.Order(1, 1);
+      rig.Run(1s);
+      CHECK(rig.starts.size() == 2);
+      CHECK(rig.renewals > 0);
+    }
+    SECTION("nor by the next process of the agent") {
+      rig.supervisor = Supervisor({.agent = "agent", .process = "p2"});
+      rig.ledger.Apply(rig.now,
+                       AgentHeartbeat{.agent = "agent", .process = "p2"});
+      rig.Run(2s);
+      CHECK(rig.ended.size() == 1);
+      CHECK(rig.renewals == 0);
+      rig.Run(lease);
+      CHECK(rig.ended.empty());
+    }
+  }
+}
+
+// Guards against a worker that stands idle after an end that its agent saw.
+TEST_CASE("given away: an end before the next start is acknowledged at once",
+          "[supervisor]") {
+  Rig rig("p1");
+  rig.Run(100ms);
+  rig.Order(0, 1);
+  rig.Run(2s);
+  rig.End({.task = Task(0), .run = 1}, TaskOutcome::kDone);
+
+  SECTION("of a run that was not given away") {}
+  SECTION("of a run that was given away and not started again") {
+    rig.Suspend(kSuspension);
+    rig.GiveAway();
+  }
+  rig.Run(500ms);
+  CHECK(rig.ended.empty());
+  CHECK(rig.supervisor.IsAcceptingWork(rig.now));
+  SECTION("which a later process of the agent does not wait for") {
+    rig.supervisor = Supervisor({.agent = "agent", .process = "p2"});
+    rig.ledger.Apply(rig.now,
+                     AgentHeartbeat{.agent = "agent", .process = "p2"});
+    rig.Run(500ms);
+    CHECK(rig.supervisor.IsAcceptingWork(rig.now));
+  }
+}
+
 TEST_CASE("given away: a restarted agent lists before it renews",
           "[supervisor]") {
   Rig rig("p2");
