--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -206,6 +206,17 @@
   occurrenceRuns @5 : List(OccurrenceRun);
 }
 
+# A job that has ended, in the order of the ends.
+struct EndedJob {
+  id @0 : Text;
+  # Position from 1 in the snapshot's list of kinds. 0: only the place in the
+  # order is known.
+  kind @1 : Int32;
+  phase @2 : UInt8;
+  begun @3 : Bool;
+  order @4 : Int64;
+}
+
 struct LiveRun {
   task @0 : Task;
   run @1 : Int32;
@@ -310,4 +321,8 @@
   compactPosition @11 : Int64 = -1;
   # Of runs whose job has another payload, or none any more.
   payloads @12 : List(Text);
+  # In place of `jobs` and `endedOrder`.
+  endedJobs @13 : List(EndedJob);
+  # What ended jobs have in common: all but the id.
+  endedKinds @14 : List(Job);
 }
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -7,10 +7,12 @@
 
 #include <limits>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "src/jobs/ended_jobs_snapshot.h"
 #include "src/jobs/job_snapshot.h"
 #include "src/jobs/ledger_wire.h"
 #include "src/jobs/record_limits.h"
@@ -206,17 +208,19 @@
   auto out = message.initRoot<ledger_wire::Snapshot>();
   out.setPosition(kCompact);
   out.setCompactPosition(position);
-  auto jobs = out.initJobs(static_cast<unsigned>(ledger.jobs_.size()));
+  const std::set<std::string_view> ended =
+      EndedJobsSnapshot::Write(ledger.jobs_, ledger.ended_order_, out);
+  auto jobs =
+      out.initJobs(static_cast<unsigned>(ledger.jobs_.size() - ended.size()));
   unsigned n = 0;
   for (const auto& [id, job] : ledger.jobs_) {
-    JobSnapshot::Write(job, jobs[n++]);
+    if (!ended.contains(id)) {
+      JobSnapshot::Write(job, jobs[n++]);
+    }
   }
   WriteTexts(
       ledger.early_cancels_,
       out.initWithdrawn(static_cast<unsigned>(ledger.early_cancels_.size())));
-  WriteTexts(
-      ledger.ended_order_,
-      out.initEndedOrder(static_cast<unsigned>(ledger.ended_order_.size())));
   PayloadWriter payloads(ledger);
   auto workers = out.initWorkers(static_cast<unsigned>(ledger.workers_.size()));
   n = 0;
@@ -276,6 +280,7 @@
     for (const auto id : in.getEndedOrder()) {
       ledger.ended_order_.push_back(FromWire(id));
     }
+    EndedJobsSnapshot::Read(now, in, ledger.jobs_, ledger.ended_order_);
     const PayloadReader payloads(ledger, left_out, in.getPayloads());
     for (const auto worker : in.getWorkers()) {
       LedgerWorker entry = ReadWorker(now, payloads, worker);
--- a/tests/unit/snapshot_size_test.cc
+++ b/tests/unit/snapshot_size_test.cc
@@ -91,5 +91,36 @@
   }
 }
 
+// Guards against snapshots that are large at all times: an entry keeps as many
+// ended jobs for status queries.
+TEST_CASE("snapshot size: ended jobs", "[ledger][snapshot]") {
+  constexpr std::size_t kMaxBytesPerJob = 48;
+  Ledger ledger;
+  for (std::size_t n = 0; n < kMaxEndedJobs; ++n) {
+    // Ids of 16 digits, as clients choose them.
+    const std::string id = std::to_string(1'000'000'000'000'000 + n * 7'919);
+    ledger.Apply(1s, JobSubmitted{.request = {.id = id,
+                                              .account = "account",
+                                              .steps = {{.tasks = 1}},
+                                              .terms = {.queue = "queue",
+                                                        .service = "service",
+                                                        .max_attempts = 3,
+                                                        .target = 1s}}});
+    ledger.Apply(1s, JobCancelled{.job = id});
+  }
+  CHECK(SizeOf(ledger) < kMaxEndedJobs * kMaxBytesPerJob);
+  const auto restored =
+      LedgerSnapshot::Load(1s, LedgerSnapshot::Save(ledger, 7));
+  REQUIRE(restored.has_value());
+  REQUIRE(restored->ledger.jobs().size() == kMaxEndedJobs);
+  for (const auto& [id, job] : ledger.jobs()) {
+    const LedgerJob* other = restored->ledger.FindJob(id);
+    REQUIRE(other != nullptr);
+    REQUIRE(other->request == job.request);
+    REQUIRE(other->phase == job.phase);
+    REQUIRE(other->sequence_number == job.sequence_number);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
--- a/tests/unit/snapshot_versions_test.cc
+++ b/tests/unit/snapshot_versions_test.cc
@@ -25,10 +25,12 @@
           .recurrence = {.occurrence_count = 2}};
 }
 
-// The first task is done, the second runs.
+// The first task is done, the second runs. Another job has ended.
 Ledger MakeLedger() {
   Ledger out;
   out.Apply(1s, PlannerElected{.entry = "e", .epoch = 1});
+  out.Apply(1s, JobSubmitted{.request = {.id = "over", .steps = {{}}}});
+  out.Apply(1s, JobCancelled{.job = "over"});
   out.Apply(1s, JobSubmitted{.request = MakeJob()});
   out.Apply(1s, WorkerReported{.agent = "a",
                                .incarnation = kWorker,
@@ -56,21 +58,15 @@
   }
 }
 
-// As a version wrote it that lists each unit and repeats the payload.
-std::string SaveInEarlierForm(const Ledger& ledger) {
-  capnp::MallocMessageBuilder message;
-  auto out = message.initRoot<ledger_wire::Snapshot>();
-  out.setPosition(kPosition);
-  const LedgerJob& job = ledger.jobs().at("j");
-  auto job_out = out.initJobs(1)[0];
-  ledger_wire::ToWire(job.request, job_out.initJob());
-  job_out.setPhase(static_cast<std::uint8_t>(job.phase));
-  job_out.setOrder(job.sequence_number);
-  job_out.setBegun(job.has_begun);
+void WriteEarlierJob(const LedgerJob& in, ledger_wire::JobState::Builder out) {
+  ledger_wire::ToWire(in.request, out.initJob());
+  out.setPhase(static_cast<std::uint8_t>(in.phase));
+  out.setOrder(in.sequence_number);
+  out.setBegun(in.has_begun);
   auto occurrences =
-      job_out.initOccurrences(static_cast<unsigned>(job.occurrences.size()));
+      out.initOccurrences(static_cast<unsigned>(in.occurrences.size()));
   for (unsigned k = 0; k < occurrences.size(); ++k) {
-    const std::vector<StepState>& states = job.occurrences[k];
+    const std::vector<StepState>& states = in.occurrences[k];
     auto steps = occurrences.init(k, static_cast<unsigned>(states.size()));
     for (unsigned s = 0; s < steps.size(); ++s) {
       auto units = steps.init(s, static_cast<unsigned>(states[s].units.size()));
@@ -79,6 +75,18 @@
       }
     }
   }
+}
+
+// As a version wrote it that lists each unit, repeats the payload, and has the
+// ended jobs among the others.
+std::string SaveInEarlierForm(const Ledger& ledger) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<ledger_wire::Snapshot>();
+  out.setPosition(kPosition);
+  auto jobs = out.initJobs(2);
+  WriteEarlierJob(ledger.jobs().at("j"), jobs[0]);
+  WriteEarlierJob(ledger.jobs().at("over"), jobs[1]);
+  out.initEndedOrder(1).set(0, "over");
   auto worker = out.initWorkers(1)[0];
   const LedgerWorker& state = ledger.workers().at(kWorker);
   ledger_wire::ToWire(state.report, worker.initReport());
@@ -95,7 +103,7 @@
   ledger_wire::ToWire(kWorker, agent.initLife());
   out.setPlanner("e");
   out.setPlannerEpoch(1);
-  out.setAccepted(1);
+  out.setAccepted(2);
   return ledger_wire::ToPackedBytes(message);
 }
 
