--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -382,8 +382,8 @@
   if (position == snapshot_position_) {
     return;
   }
-  const bool stored =
-      WriteSnapshot(leadership_.store(), options_.snapshots, bytes, position);
+  const bool stored = WriteSnapshot(leadership_.store(), options_.snapshots,
+                                    bytes, position, ledger_.snapshot_parts());
   snapshot_position_ = stored ? position : snapshot_position_;
   LogEvent("snapshot")
       .With("position", position)
--- a/src/store/ledger_follower.cc
+++ b/src/store/ledger_follower.cc
@@ -102,7 +102,8 @@
 LedgerFollower::RestoreResult LedgerFollower::Restore(
     std::int64_t min_position) {
   const Time now = BootClockNow();
-  SnapshotLookup lookup = ReadSnapshot(*store_, options_.snapshots, now);
+  SnapshotLookup lookup =
+      ReadSnapshot(*store_, options_.snapshots, now, snapshot_parts_);
   if (!lookup.store_answered) {
     LogEvent("snapshot_unread")
         .With("reason", lookup.reason)
@@ -170,7 +171,8 @@
         return std::pair(LedgerSnapshot::Save(ledger, first_retained),
                          view.position);
       });
-  if (WriteSnapshot(*store_, options_.snapshots, bytes, first_retained)) {
+  if (WriteSnapshot(*store_, options_.snapshots, bytes, first_retained,
+                    snapshot_parts_)) {
     LogEvent("ledger_adopted")
         .With("read_to", read_to)
         .With("position", first_retained);
--- a/src/store/ledger_follower.h
+++ b/src/store/ledger_follower.h
@@ -15,6 +15,7 @@
 #include "src/store/log_store.h"
 #include "src/store/record_ring.h"
 #include "src/store/retry_backoff.h"
+#include "src/store/snapshot_store.h"
 
 namespace marjoramplank {
 
@@ -56,6 +57,8 @@
   // not deliver the records soon, the second connection reads them.
   void ExpectEnd(std::int64_t end);
   RecordRing& ring() { return ring_; }  // Records read, for relaying.
+  // What it has seen in the topic of the snapshots; for other writers of it.
+  SnapshotParts& snapshot_parts() { return snapshot_parts_; }
   // Called on the follower's threads, with the ledger, after each record that
   // had an effect.
   using OnRecord = std::function<
@@ -114,6 +117,7 @@
   std::uint64_t version_ = 0;
   std::int64_t expected_end_ = 0;  // Guarded by change_mutex_.
   RecordRing ring_;
+  SnapshotParts snapshot_parts_;
   RetryBackoff restore_retry_;  // Used by the follower's thread only.
   // True: the next read returns all that was appended since the snapshot.
   std::atomic<bool> is_catching_up_{true};
--- a/src/store/snapshot_store.cc
+++ b/src/store/snapshot_store.cc
@@ -17,6 +17,10 @@
 
 constexpr std::size_t kMaxPartBytes = 192 * 1024;  // Records: up to 256 KiB.
 constexpr std::size_t kMaxPartsPerCall = 8;        // Calls: up to 2 MiB.
+// A key with a higher number is not a part that an entry has written.
+constexpr std::size_t kMaxParts = 100'000;
+// Of a larger snapshot; the next write to the slot deletes more.
+constexpr std::size_t kMaxDeletedPartsPerCall = 200;
 constexpr Duration kWriteTimeout = 2s;
 
 struct Manifest {
@@ -40,6 +44,24 @@
   return std::string(1, slot) + "." + std::to_string(n);
 }
 
+// Notes the parts that the topic holds.
+void NoteParts(const std::map<std::string, std::string>& values,
+               SnapshotParts& parts) {
+  for (const char slot : {'a', 'b'}) {
+    const std::string prefix = PartKey(slot, 0).substr(0, 2);
+    std::size_t count = 0;
+    for (auto it = values.lower_bound(prefix);
+         it != values.end() && it->first.starts_with(prefix); ++it) {
+      std::size_t n = 0;
+      std::istringstream number(it->first.substr(prefix.size()));
+      if (!it->second.empty() && number >> n && n < kMaxParts) {
+        count = std::max(count, n + 1);
+      }
+    }
+    parts.AddUpTo(slot, count);
+  }
+}
+
 std::uint64_t Checksum(const std::string& bytes) {
   return XXH3_64bits(bytes.data(), bytes.size());
 }
@@ -62,13 +84,31 @@
 
 }  // namespace
 
+std::size_t SnapshotParts::CountOf(char slot) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = counts_.find(slot);
+  return it == counts_.end() ? 0 : it->second;
+}
+
+void SnapshotParts::AddUpTo(char slot, std::size_t count) {
+  const std::lock_guard lock(mutex_);
+  counts_[slot] = std::max(counts_[slot], count);
+}
+
+void SnapshotParts::Set(char slot, std::size_t count) {
+  const std::lock_guard lock(mutex_);
+  counts_[slot] = count;
+}
+
 bool WriteSnapshot(LogStore& store,
                    const LogPartition& to,
                    const std::string& bytes,
-                   std::int64_t position) {
+                   std::int64_t position,
+                   SnapshotParts& known_parts) {
   // Atomic: the planner thread and, after a gap, the follower's thread write.
   static std::atomic<unsigned> snapshots_written{0};
   const char slot = snapshots_written++ % 2 == 0 ? 'b' : 'a';
+  known_parts.AddUpTo(slot, (bytes.size() + kMaxPartBytes - 1) / kMaxPartBytes);
   std::vector<std::string> records;
   std::size_t parts = 0;
   for (std::size_t at = 0; at < bytes.size(); at += kMaxPartBytes) {
@@ -86,13 +126,23 @@
       .position = position, .parts = parts, .checksum = Checksum(bytes)};
   records.push_back(
       EncodeKeyed(std::string(1, slot), FormatManifest(manifest)));
-  return store.Append(to, records, {}, kWriteTimeout).kind ==
-         AppendResult::Kind::kStored;
+  // From the last one on, so that those that are left stay without a gap.
+  std::size_t left = known_parts.CountOf(slot);
+  for (std::size_t n = 0; n < kMaxDeletedPartsPerCall && left > parts; ++n) {
+    records.push_back(EncodeKeyed(PartKey(slot, --left), ""));
+  }
+  if (store.Append(to, records, {}, kWriteTimeout).kind !=
+      AppendResult::Kind::kStored) {
+    return false;
+  }
+  known_parts.Set(slot, left);
+  return true;
 }
 
 SnapshotLookup ReadSnapshot(LogStore& store,
                             const LogPartition& from,
-                            Time now) {
+                            Time now,
+                            SnapshotParts& parts) {
   const LatestResult newest = store.ReadLatest(from, kBulkReadTimeout);
   if (!newest.ok) {
     return {.reason = newest.reason};
@@ -101,6 +151,7 @@
   for (const KeyedRecord& r : newest.records) {
     values[r.key] = r.value;
   }
+  NoteParts(values, parts);
   SnapshotLookup out{.store_answered = true};
   std::vector<std::pair<Manifest, char>> manifests;
   for (const char slot : {'a', 'b'}) {
--- a/src/store/snapshot_store.h
+++ b/src/store/snapshot_store.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -9,14 +12,29 @@
 
 namespace marjoramplank {
 
+// How many parts the topic may hold in each slot, as far as this process has
+// read or written them. Thread-safe.
+class SnapshotParts {
+ public:
+  std::size_t CountOf(char slot) const;
+  void AddUpTo(char slot, std::size_t count);
+  void Set(char slot, std::size_t count);
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<char, std::size_t> counts_;
+};
+
 // Writes a snapshot to a keyed topic: first its parts under the keys of one of
 // two slots, then the slot's manifest. The manifest has a checksum, so that
-// readers reject a mix of two snapshots. Returns false if the snapshot is not
-// known to be stored.
+// readers reject a mix of two snapshots. Deletes parts of a larger snapshot
+// that was in the slot, which readers would load as well. Returns false if the
+// snapshot is not known to be stored.
 bool WriteSnapshot(LogStore& store,
                    const LogPartition& to,
                    const std::string& bytes,
-                   std::int64_t position);
+                   std::int64_t position,
+                   SnapshotParts& parts);
 
 struct SnapshotLookup {
   bool store_answered = false;  // False: the log service could not be read.
@@ -27,6 +45,7 @@
 // Reads the newest complete snapshot.
 SnapshotLookup ReadSnapshot(LogStore& store,
                             const LogPartition& from,
-                            Time now);
+                            Time now,
+                            SnapshotParts& parts);
 
 }  // namespace marjoramplank
--- a/tests/unit/odd_snapshots_test.cc
+++ b/tests/unit/odd_snapshots_test.cc
@@ -130,9 +130,10 @@
   const LogPartition topic{.topic = "keyed.t"};
   const std::string bytes = LedgerSnapshot::Save(
       LedgerWith(JobCancelled{.job = "x"}), /*position=*/5);
-  REQUIRE(WriteSnapshot(store, topic, bytes, 5));
+  SnapshotParts parts;
+  REQUIRE(WriteSnapshot(store, topic, bytes, 5, parts));
   const auto position = [&] {
-    const SnapshotLookup found = ReadSnapshot(store, topic, 2s);
+    const SnapshotLookup found = ReadSnapshot(store, topic, 2s, parts);
     return found.snapshot ? found.snapshot->position : -1;
   };
   CHECK(position() == 5);
