--- a/tests/unit/snapshot_store_test.cc
+++ b/tests/unit/snapshot_store_test.cc
@@ -103,9 +103,10 @@
   SnapshotParts parts;
   const std::string small = LedgerSnapshot::Save(Ledger(), 9);
   constexpr int kWrites = 8;
-  for (int n = 0; n < 2; ++n) {
-    REQUIRE(
-        WriteSnapshot(store, kTopic, std::string(100'000'000, 'x'), 8, parts));
+  std::string large;
+  large.resize(100'000'000, 'x');
+  for (int slots = 0; slots < 2; ++slots) {
+    REQUIRE(WriteSnapshot(store, kTopic, large, 8, parts));
   }
   for (int n = 0; n < kWrites; ++n) {
     REQUIRE(WriteSnapshot(store, kTopic, small, 9, parts));
