--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -7,10 +7,12 @@
 
 #include <limits>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "src/jobs/ended_jobs_snapshot.h"
 #include "src/jobs/job_snapshot.h"
 #include "src/jobs/ledger_wire.h"
 #include "src/jobs/record_limits.h"
@@ -150,6 +152,7 @@
   ToWire(in.report, out.initReport());
   out.setGone(in.incarnation_ended);
   out.setLastEnd(in.last_end_number);
+  out.setLastOvertakenEnd(in.last_overtaken_end);
   out.setFailedInRow(in.consecutive_failures);
   out.setRefusedInRow(in.consecutive_refusals);
   auto runs = out.initRuns(static_cast<unsigned>(in.runs.size()));
@@ -170,6 +173,7 @@
   }
   out.incarnation_ended = in.getGone();
   out.last_end_number = in.getLastEnd();
+  out.last_overtaken_end = in.getLastOvertakenEnd();
   out.consecutive_failures = in.getFailedInRow();
   out.consecutive_refusals = in.getRefusedInRow();
   for (const auto r : in.getRuns()) {
@@ -204,17 +208,19 @@
   auto out = message.initRoot<ledger_wire::Snapshot>();
   out.setPosition(kCompact);
   out.setCompactPosition(position);
-  auto jobs = out.initJobs(static_cast<unsigned>(ledger.jobs_.size()));
+  const std::set<std::string_view> ended =
+      EndedJobsSnapshot::Write(ledger.jobs_, ledger.ended_order_, out);
+  auto jobs =
+      out.initJobs(static_cast<unsigned>(ledger.jobs_.size() - ended.size()));
   unsigned n = 0;
   for (const auto& [id, job] : ledger.jobs_) {
-    JobSnapshot::Write(job, jobs[n++]);
+    if (!ended.contains(id)) {
+      JobSnapshot::Write(job, jobs[n++]);
+    }
   }
   WriteTexts(
       ledger.early_cancels_,
       out.initWithdrawn(static_cast<unsigned>(ledger.early_cancels_.size())));
-  WriteTexts(
-      ledger.ended_order_,
-      out.initEndedOrder(static_cast<unsigned>(ledger.ended_order_.size())));
   PayloadWriter payloads(ledger);
   auto workers = out.initWorkers(static_cast<unsigned>(ledger.workers_.size()));
   n = 0;
@@ -274,6 +280,7 @@
     for (const auto id : in.getEndedOrder()) {
       ledger.ended_order_.push_back(FromWire(id));
     }
+    EndedJobsSnapshot::Read(now, in, ledger.jobs_, ledger.ended_order_);
     const PayloadReader payloads(ledger, left_out, in.getPayloads());
     for (const auto worker : in.getWorkers()) {
       LedgerWorker entry = ReadWorker(now, payloads, worker);
