Dispatch: waits, preemption and reservations by expected completion time

Urgent gangs started on slow machines although fast ones would have been free a moment later, or held batch work that had just begun; reservations counted slots on machines that the gang would not take.

- FastWait: a unit with room on slow machines only waits if it then ends sooner by 10 % and with a better outlook; bounded by 1 s after it is due for first steps of priority 0, by the first 0.7 s within a guarantee, and by 2 s for a job with nothing running in an idle service.
A gang's workers are reserved.
- PreemptOnFast: an urgent unit preempts lower priorities on fast machines if they lose no more core-seconds than it saves, and only to meet a deadline.
PreemptionSearch::Find takes a limit on the speed class.
- Reservations are made where a gang ends soonest.
- The wait for a preferred rack is 1.2 s at most within a guarantee.
- Plans work through steps, not units: units of a step have the same rank, and after one that does not fit the others are not looked at.
- decide_start has expected_ms, slowness_percent, sample_age_ms, order and waited_for_fast; wait_for_fast once a second; two counters.

--- a/src/dispatch/capacity_table.h
+++ b/src/dispatch/capacity_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
 // outweigh best fit: 0 below a slowness of 1.3, then a class for each half
 // octave.
 std::int32_t SpeedClass(double slowness);
+inline constexpr std::int32_t kAnySpeedClass =
+    std::numeric_limits<std::int32_t>::max();
 
 // Free capacity of one worker while a plan is made.
 struct WorkerCapacity {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -28,20 +28,104 @@
              : std::min(first * (1 << std::min(count - 1, kMaxDoublings)), max);
 }
 
-// True if tasks wait that need all accelerators of the largest worker.
-bool AnyNeedsWholeWorkers(const std::vector<WaitingUnit>& units,
-                          const CapacityTable& table) {
-  std::int64_t largest = 1;
+// Of the slowest member, for which the others wait.
+double SlownessOf(CapacityTable& table, const UnitPlacement& placement) {
+  double out = 1;
+  for (const MemberPlace& m : placement.members) {
+    out = std::max(out, table.Find(m.incarnation)->RunTimeFactor());
+  }
+  return out;
+}
+
+// In one rack if the unit needs that and it is possible.
+std::optional<UnitPlacement> FindVictimsUpTo(PreemptionSearch& search,
+                                             const WaitingUnit& unit,
+                                             std::int32_t max_speed_class) {
+  if (unit.step->gang && unit.step->same_rack) {
+    if (std::optional<UnitPlacement> placement =
+            search.Find(unit, /*allow_any_rack=*/false, max_speed_class)) {
+      return placement;
+    }
+  }
+  return search.Find(unit, /*allow_any_rack=*/true, max_speed_class);
+}
+
+void TraceStart(const Dispatcher::Input& in,
+                CapacityTable& table,
+                const WaitingUnit& unit,
+                const UnitPlacement& placement) {
+  if (in.trace == nullptr) {
+    return;
+  }
+  Duration sample_age{0};
+  for (const MemberPlace& m : placement.members) {
+    sample_age =
+        std::max(sample_age,
+                 in.ledger.run_times().SampleAge(
+                     in.now, table.Find(m.incarnation)->entry->report.agent));
+  }
+  in.trace->starts.push_back(
+      {.unit = unit.first_task,
+       .expected_run_time =
+           ScaledBy(RunTimeFactor(table, unit, placement), unit.run_time),
+       .slowness = placement.slowness,
+       .speed_class = placement.speed_class,
+       .sample_age = sample_age,
+       .speed_order = placement.speed_order});
+}
+
+// Accelerators of the largest worker, at least 1.
+std::int64_t MostAccelerators(const CapacityTable& table) {
+  std::int64_t out = 1;
   for (const WorkerCapacity* worker : table.workers()) {
-    largest = std::max(largest, worker->entry->report.capacity.accelerators);
+    out = std::max(out, worker->entry->report.capacity.accelerators);
   }
-  return std::any_of(units.begin(), units.end(), [&](const WaitingUnit& u) {
-    return u.member_need.accelerators >= largest;
-  });
+  return out;
 }
 
 }  // namespace
 
+// What the steps of one plan share.
+struct Dispatcher::PlanState {
+  PlanState(const Dispatcher& dispatcher,
+            const Input& input,
+            const std::set<std::string>& guaranteed_jobs,
+            StepTimeCache& step_times,
+            CapacityTable& capacity,
+            std::vector<LedgerRecord>& records)
+      : in(input),
+        table(capacity),
+        search(in.now, in.ledger, table, guaranteed_jobs),
+        reservations(dispatcher.options_.reservations,
+                     in.now,
+                     in.ledger,
+                     step_times,
+                     table),
+        idle_jobs(in.ledger, table),
+        fast_wait(dispatcher.options_.fast_wait,
+                  table,
+                  reservations,
+                  idle_jobs),
+        out(records) {}
+
+  const Input& in;
+  CapacityTable& table;
+  PreemptionSearch search;
+  ReservationPlanner reservations;
+  IdleJobs idle_jobs;
+  FastWait fast_wait;
+  bool keep_whole_workers = false;  // For larger tasks that wait.
+  std::set<TaskRef> stopped_units;  // First tasks of those that it stops.
+  std::vector<LedgerRecord>& out;
+};
+
+// In the order of units; those that wait are to be planned.
+struct Dispatcher::WaitingStep {
+  WaitingUnit first;  // Of all units, but for `unit` and the task's index.
+  const std::vector<RunUnit>* units = nullptr;
+  std::size_t waiting_units = 0;
+};
+
 bool Dispatcher::IsQuarantined(const Input& in,
                                const LedgerAgent& agent,
                                const LedgerWorker& worker) const {
@@ -114,10 +198,10 @@
   return out;
 }
 
-void Dispatcher::AppendWaitingUnits(const Input& in,
+void Dispatcher::AppendWaitingSteps(const Input& in,
                                     const LedgerJob& job,
                                     const StepTimes& run_times,
-                                    std::vector<WaitingUnit>& out) const {
+                                    std::vector<WaitingStep>& out) const {
   const JobRequest& r = job.request;
   const Duration objective =
       ScaledBy(r.terms.stretch, CriticalPath(r, run_times)) + r.terms.target;
@@ -147,49 +231,50 @@
       if (step.uses_idle_cpu) {
         need.cpu_milli = 0;
       }
-      for (std::size_t u = 0; u < state.units.size(); ++u) {
-        if (state.units[u].phase != RunUnit::Phase::kWaiting) {
-          continue;
-        }
-        out.push_back(
-            {.job = &job,
-             .step = &step,
-             .unit = &state.units[u],
-             .first_task = {.job = r.id,
-                            .occurrence = static_cast<std::int32_t>(k),
-                            .step = static_cast<std::int32_t>(s),
-                            .index = static_cast<std::int32_t>(u)},
-             .member_count = step.gang ? step.tasks : 1,
-             .member_need = need,
-             .due_at = due_at,
-             .deadline = due_at + objective,
-             .outlook = outlook,
-             .run_time = run_times[s],
-             .remaining = remaining,
-             .planned_at = in.now,
-             .expected_end = ExpectedEnd(in.now, step, run_times[s]),
-             .needs_trial =
-                 state.units[u].MaxCrashes() >= kTrialCrashedWorkers});
+      const WaitingUnit first{
+          .job = &job,
+          .step = &step,
+          .first_task = {.job = r.id,
+                         .occurrence = static_cast<std::int32_t>(k),
+                         .step = static_cast<std::int32_t>(s)},
+          .member_count = step.gang ? step.tasks : 1,
+          .member_need = need,
+          .due_at = due_at,
+          .deadline = due_at + objective,
+          .outlook = outlook,
+          .run_time = run_times[s],
+          .remaining = remaining,
+          .planned_at = in.now,
+          .expected_end = ExpectedEnd(in.now, step, run_times[s])};
+      const auto waiting = std::count_if(
+          state.units.begin(), state.units.end(),
+          [](const RunUnit& u) { return u.phase == RunUnit::Phase::kWaiting; });
+      if (waiting > 0) {
+        out.push_back({.first = first,
+                       .units = &state.units,
+                       .waiting_units = static_cast<std::size_t>(waiting)});
       }
     }
   }
 }
 
-std::vector<WaitingUnit> Dispatcher::SortedWaitingUnits(
+std::vector<Dispatcher::WaitingStep> Dispatcher::SortedWaitingSteps(
     const Input& in,
     StepTimeCache& step_times,
     const std::set<std::string>& guaranteed_jobs) const {
-  std::vector<WaitingUnit> out;
+  std::vector<WaitingStep> out;
   for (const std::string& id : in.ledger.open_jobs()) {
     const LedgerJob& job = in.ledger.jobs().at(id);
-    AppendWaitingUnits(in, job, step_times.Of(job), out);
+    AppendWaitingSteps(in, job, step_times.Of(job), out);
   }
-  for (WaitingUnit& unit : out) {
-    unit.is_guaranteed = guaranteed_jobs.contains(unit.first_task.job);
+  for (WaitingStep& step : out) {
+    step.first.is_guaranteed =
+        guaranteed_jobs.contains(step.first.first_task.job);
   }
   using Rank = std::tuple<bool, std::int32_t, DeadlineOutlook, Time,
                           std::int64_t, const TaskRef&>;
-  const auto rank = [](const WaitingUnit& u) {
+  const auto rank = [](const WaitingStep& s) {
+    const WaitingUnit& u = s.first;
     return Rank(!u.is_guaranteed, u.job->request.terms.priority, u.outlook,
                 u.deadline, u.job->sequence_number, u.first_task);
   };
@@ -254,6 +339,7 @@
       (is_same_rack_gang && FitsInOneRack(table, unit)) ||
       (!unit.step->data_rack.empty() && CanRunInDataRack(table, unit));
   return has_preferred_rack &&
+         (!unit.is_guaranteed || waited < options_.guaranteed_locality_limit) &&
          static_cast<double>(waited.count()) <
              options_.locality_wait_fraction *
                  static_cast<double>(unit.run_time.count());
@@ -312,30 +398,99 @@
     scope = unit.step->same_rack ? ReservationScope::kOneRack
                                  : ReservationScope::kDataRack;
   }
-  reservations.Reserve(unit, scope);
+  const bool is_remote =
+      scope == ReservationScope::kAnyWorker &&
+      (unit.step->same_rack || !unit.step->data_rack.empty());
+  const bool has_slack = ChooseSpeed(table, unit, is_remote, {}).speed_order ==
+                         SpeedOrder::kSlowFirst;
+  reservations.Reserve(unit, scope, has_slack);
 }
 
-bool Dispatcher::Preempt(const Input& in,
-                         CapacityTable& table,
-                         PreemptionSearch& search,
-                         const WaitingUnit& unit,
-                         std::set<TaskRef>& stopped_units,
-                         std::vector<LedgerRecord>& out) const {
-  const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
-  std::optional<UnitPlacement> placement;
-  if (is_same_rack_gang) {
-    placement = search.Find(unit, /*allow_any_rack=*/false);
+bool Dispatcher::MayPreempt(const WaitingUnit& unit) {
+  return unit.is_guaranteed || unit.job->request.terms.priority == 0;
+}
+
+double Dispatcher::GainOnFast(const WaitingUnit& unit,
+                              double slow_factor) const {
+  if (unit.step->long_running || unit.outlook != DeadlineOutlook::kOnTime ||
+      OutlookAt(unit, Duration(0), slow_factor) == DeadlineOutlook::kOnTime) {
+    return 0;
   }
-  if (!placement) {
-    placement = search.Find(unit, /*allow_any_rack=*/true);
+  return options_.fast_preemption_weight * CoreEquivalent(unit.member_need) *
+         unit.member_count * ToSeconds(unit.run_time) * (slow_factor - 1);
+}
+
+std::optional<UnitPlacement> Dispatcher::FindVictims(
+    PlanState& state,
+    const WaitingUnit& unit) const {
+  std::optional<UnitPlacement> on_fast;
+  if (state.table.HasSlowWorkers()) {
+    on_fast = FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0);
+    const double least_slowness =
+        state.table.speed_classes().upper_bound(0)->second;
+    if (on_fast && on_fast->urgent_victims == 0 &&
+        on_fast->cost <= GainOnFast(unit, least_slowness)) {
+      return on_fast;
+    }
   }
+  std::optional<UnitPlacement> anywhere =
+      FindVictimsUpTo(state.search, unit, kAnySpeedClass);
+  if (!on_fast || !anywhere) {
+    return anywhere;
+  }
+  const double gain = GainOnFast(unit, SlownessOf(state.table, *anywhere));
+  return on_fast->urgent_victims <= anywhere->urgent_victims &&
+                 on_fast->cost <= anywhere->cost + gain
+             ? on_fast
+             : anywhere;
+}
+
+bool Dispatcher::Preempt(PlanState& state, const WaitingUnit& unit) const {
+  const std::optional<UnitPlacement> placement = FindVictims(state, unit);
   if (!placement ||
       (!unit.is_guaranteed &&
        placement->cost > options_.preemption_limit_core_seconds)) {
     return false;
   }
-  for (const TaskRef& task : placement->victims) {
-    const LedgerJob* job = in.ledger.FindJob(task.job);
+  StopVictims(state, unit, *placement);
+  // Includes what is free already, so that units later in the order cannot use
+  // it.
+  ReservePlacement(unit, *placement, state.table);
+  return true;
+}
+
+bool Dispatcher::PreemptOnFast(PlanState& state,
+                               const WaitingUnit& unit,
+                               const UnitPlacement& slow) const {
+  if (unit.job->request.terms.priority != 0 || slow.speed_class == 0 ||
+      unit.needs_trial ||
+      !state.fast_wait.MayAwaitStops(unit, /*is_new=*/false)) {
+    return false;
+  }
+  const double gain = GainOnFast(unit, RunTimeFactor(state.table, unit, slow));
+  if (gain <= 0) {
+    return false;
+  }
+  const std::optional<UnitPlacement> placement =
+      FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0);
+  // Without victims, another rule forbids what is free.
+  if (!placement || placement->victims.empty() ||
+      placement->urgent_victims > 0 || placement->cost > gain ||
+      IsRemote(state.table, unit, *placement) ||
+      (placement->cost > 0 &&
+       !state.fast_wait.MayAwaitStops(unit, /*is_new=*/true))) {
+    return false;
+  }
+  StopVictims(state, unit, *placement);
+  ReservePlacement(unit, *placement, state.table);
+  return true;
+}
+
+void Dispatcher::StopVictims(PlanState& state,
+                             const WaitingUnit& unit,
+                             const UnitPlacement& placement) {
+  for (const TaskRef& task : placement.victims) {
+    const LedgerJob* job = state.in.ledger.FindJob(task.job);
     if (job == nullptr || job->ended()) {
       continue;  // The job has ended, so its tasks stop already.
     }
@@ -344,33 +499,27 @@
         job->occurrences[static_cast<std::size_t>(first.occurrence)]
                         [static_cast<std::size_t>(first.step)]
                             .units[static_cast<std::size_t>(first.index)];
-    if (victim.stop_requested || !stopped_units.insert(first).second) {
+    if (victim.stop_requested || !state.stopped_units.insert(first).second) {
       continue;
     }
-    if (in.trace != nullptr) {
-      in.trace->preemptions.push_back({.for_unit = unit.first_task,
-                                       .is_guaranteed = unit.is_guaranteed,
-                                       .victim = first,
-                                       .lost_core_seconds = placement->cost});
+    if (state.in.trace != nullptr) {
+      state.in.trace->preemptions.push_back(
+          {.for_unit = unit.first_task,
+           .is_guaranteed = unit.is_guaranteed,
+           .victim = first,
+           .lost_core_seconds = placement.cost});
     }
-    out.emplace_back(RunStopped{.epoch = in.epoch,
-                                .first = first,
-                                .run = victim.run,
-                                .cause = StopCause::kReclaim});
+    state.out.emplace_back(RunStopped{.epoch = state.in.epoch,
+                                      .first = first,
+                                      .run = victim.run,
+                                      .cause = StopCause::kReclaim});
   }
-  // Includes what is free already, so that units later in the order cannot use
-  // it.
-  ReservePlacement(unit, *placement, table);
-  return true;
 }
 
 void Dispatcher::ReservePlacement(const WaitingUnit& unit,
                                   const UnitPlacement& placement,
                                   CapacityTable& table) {
-  double slowness = 1;  // Members that are done wait for the slowest one.
-  for (const MemberPlace& m : placement.members) {
-    slowness = std::max(slowness, table.Find(m.incarnation)->RunTimeFactor());
-  }
+  const double slowness = SlownessOf(table, placement);
   for (const MemberPlace& m : placement.members) {
     table.Reserve(m.incarnation, unit, unit.ExpectedEndAt(slowness));
     if (unit.needs_trial) {
@@ -387,60 +536,77 @@
   }
   StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
-  std::set<TaskRef> stopped_units;
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   StepTimeCache step_times(in.ledger.run_times(), options_.default_estimate);
-  const std::vector<WaitingUnit> waiting_units =
-      SortedWaitingUnits(in, step_times, guaranteed_jobs);
+  const std::vector<WaitingStep> waiting_steps =
+      SortedWaitingSteps(in, step_times, guaranteed_jobs);
+  PlanState state(*this, in, guaranteed_jobs, step_times, table, out);
+  const std::int64_t whole_worker = MostAccelerators(table);
+  state.keep_whole_workers = std::any_of(
+      waiting_steps.begin(), waiting_steps.end(), [&](const WaitingStep& s) {
+        return s.first.member_need.accelerators >= whole_worker;
+      });
+  for (const WaitingStep& step : waiting_steps) {
+    PlanStep(state, step);
+  }
   if (in.trace != nullptr) {
     in.trace->usable_workers = table.workers().size();
-    in.trace->waiting_units = waiting_units.size();
-  }
-  PreemptionSearch search(in.now, in.ledger, table, guaranteed_jobs);
-  ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
-                                  step_times, table);
-  IdleJobs idle_jobs(in.ledger, table);
-  const bool keep_whole_workers = AnyNeedsWholeWorkers(waiting_units, table);
-  // Steps of which a unit could not be placed. A plan only takes capacity, so
-  // their other units cannot be placed either.
-  std::set<TaskRef> unplaceable_steps;
-  for (const WaitingUnit& unit : waiting_units) {
-    const TaskRef step = FirstTaskOfStep(unit.first_task);
-    if (unplaceable_steps.contains(step) ||
-        (unit.needs_trial && !trials_.MayHostMore(table))) {
-      continue;
+    for (const WaitingStep& step : waiting_steps) {
+      in.trace->waiting_units += step.waiting_units;
     }
-    if (const std::optional<UnitPlacement> placement =
-            FindPlacementWithFallback(
-                in, table, unit,
-                {.allow_reserved = idle_jobs.MayUseReserved(unit),
-                 .keep_whole_workers = keep_whole_workers})) {
-      idle_jobs.SetRunning(unit.first_task.job);
-      out.emplace_back(MakeRunStarted(in, unit, *placement));
-      ReservePlacement(unit, *placement, table);
+    in.trace->fast_waits = state.fast_wait.waits();
+    in.trace->reservations = state.reservations.reservations();
+    in.trace->examined_workers = table.examined_workers();
+  }
+  return out;
+}
+
+void Dispatcher::PlanStep(PlanState& state, const WaitingStep& step) const {
+  WaitingUnit unit = step.first;
+  for (std::size_t n = 0; n < step.units->size(); ++n) {
+    unit.unit = &(*step.units)[n];
+    if (unit.unit->phase != RunUnit::Phase::kWaiting) {
       continue;
     }
-    const bool may_preempt =
-        unit.is_guaranteed || unit.job->request.terms.priority == 0;
-    const bool has_room =
-        may_preempt && Preempt(in, table, search, unit, stopped_units, out);
-    if (has_room) {
+    unit.first_task.index = static_cast<std::int32_t>(n);
+    unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
+    if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
+        state.fast_wait.TakeWaitOfStep(unit) || PlanUnit(state, unit)) {
       continue;
     }
     if (unit.needs_trial) {
-      TrialRules::KeepWorkerFree(unit, table);
+      TrialRules::KeepWorkerFree(unit, state.table);
       continue;
     }
-    unplaceable_steps.insert(step);
-    if (!may_preempt) {
-      ReserveForGang(in, table, unit, reservations);
+    if (!MayPreempt(unit)) {
+      ReserveForGang(state.in, state.table, unit, state.reservations);
     }
+    // A plan only takes capacity, so the step's other units cannot be placed
+    // either.
+    return;
   }
-  if (in.trace != nullptr) {
-    in.trace->reservations = reservations.reservations();
-    in.trace->examined_workers = table.examined_workers();
+}
+
+bool Dispatcher::PlanUnit(PlanState& state, const WaitingUnit& unit) const {
+  // Reservations are made for lower priorities, or by a wait for faster
+  // machines, and neither comes before urgent work.
+  const std::optional<UnitPlacement> placement = FindPlacementWithFallback(
+      state.in, state.table, unit,
+      {.allow_reserved =
+           MayPreempt(unit) || state.idle_jobs.MayUseReserved(unit),
+       .keep_whole_workers = state.keep_whole_workers});
+  if (!placement) {
+    return MayPreempt(unit) && Preempt(state, unit);
   }
-  return out;
+  if (PreemptOnFast(state, unit, *placement) ||
+      state.fast_wait.MustWait(unit, *placement)) {
+    return true;
+  }
+  state.idle_jobs.SetRunning(unit.first_task.job);
+  state.out.emplace_back(MakeRunStarted(state.in, unit, *placement));
+  TraceStart(state.in, state.table, unit, *placement);
+  ReservePlacement(unit, *placement, state.table);
+  return true;
 }
 
 }  // namespace marjoramplank
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "src/dispatch/fast_wait.h"
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
@@ -45,6 +46,10 @@
     // Locality wait: a unit that runs slower away from its data, or spread over
     // racks, waits for a preferred rack for this fraction of its estimate.
     double locality_wait_fraction = 0.6;
+    // A unit within its guarantee does so for this long at most: it must start
+    // 2.7 s after its acknowledgement whatever its estimate is, and runs that
+    // it preempts take up to 0.9 s to stop.
+    Duration guaranteed_locality_limit{1200};
     // Most work that a unit of priority 0 beyond its account's guarantee may
     // cost its victims.
     double preemption_limit_core_seconds = 1500;
@@ -56,6 +61,10 @@
     // time of a reservation only with this margin.
     double backfill_margin = 1.25;
     ReservationPlanner::Options reservations;
+    FastWait::Options fast_wait;
+    // What an urgent unit's victims on fast machines may lose, for each
+    // core-second that it saves there against a slow machine that has room.
+    double fast_preemption_weight = 1;
   };
 
   // A preemption of a plan: which unit displaces which run, and at what cost.
@@ -65,6 +74,15 @@
     TaskRef victim;                // First task of the displaced unit.
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
   };
+  // A start, with what was expected of it.
+  struct Start {
+    TaskRef unit;
+    Duration expected_run_time{0};
+    double slowness = 1;  // Of the slowest member's machine.
+    std::int32_t speed_class = 0;
+    Duration sample_age{0};  // Oldest of its members' machines. 0: unknown.
+    SpeedOrder speed_order = SpeedOrder::kIgnored;
+  };
   struct LostWorker {
     WorkerIncarnation incarnation;
     Duration silence{0};  // Of its agent.
@@ -76,6 +94,8 @@
     std::size_t waiting_units = 0;
     // Workers that were examined, counted once for each search.
     std::int64_t examined_workers = 0;
+    std::vector<Start> starts;  // In the order of their decisions.
+    std::vector<FastWait::Wait> fast_waits;
     std::vector<Preemption> preemptions;
     std::vector<Reservation> reservations;
   };
@@ -98,18 +118,27 @@
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
  private:
+  struct PlanState;
+  struct WaitingStep;
+
   CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
                      const LedgerWorker& worker) const;
-  std::vector<WaitingUnit> SortedWaitingUnits(
+  // In scheduling order.
+  std::vector<WaitingStep> SortedWaitingSteps(
       const Input& in,
       StepTimeCache& step_times,
       const std::set<std::string>& guaranteed_jobs) const;
-  void AppendWaitingUnits(const Input& in,
+  void AppendWaitingSteps(const Input& in,
                           const LedgerJob& job,
                           const StepTimes& run_times,
-                          std::vector<WaitingUnit>& out) const;
+                          std::vector<WaitingStep>& out) const;
+  void PlanStep(PlanState& state, const WaitingStep& step) const;
+  // Starts the unit, preempts for it or lets it wait for faster machines.
+  // Returns false if there is no room.
+  bool PlanUnit(PlanState& state, const WaitingUnit& unit) const;
+  static bool MayPreempt(const WaitingUnit& unit);
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
   static void ReservePlacement(const WaitingUnit& unit,
                                const UnitPlacement& placement,
@@ -133,14 +162,24 @@
                       const CapacityTable& table,
                       const WaitingUnit& unit,
                       ReservationPlanner& reservations) const;
-  // Stops victims for the unit and reserves its capacity. `stopped_units` holds
-  // the units that this plan stops. Returns false if nothing may be preempted.
-  bool Preempt(const Input& in,
-               CapacityTable& table,
-               PreemptionSearch& search,
-               const WaitingUnit& unit,
-               std::set<TaskRef>& stopped_units,
-               std::vector<LedgerRecord>& out) const;
+  // Stops victims for the unit and reserves its capacity. Returns false if
+  // nothing may be preempted.
+  bool Preempt(PlanState& state, const WaitingUnit& unit) const;
+  // The same on fast machines, for an urgent unit that has room only on slow
+  // ones, `slow`, and would end late there.
+  bool PreemptOnFast(PlanState& state,
+                     const WaitingUnit& unit,
+                     const UnitPlacement& slow) const;
+  // On fast machines if that is worth what it costs more than elsewhere.
+  std::optional<UnitPlacement> FindVictims(PlanState& state,
+                                           const WaitingUnit& unit) const;
+  // Core-seconds that the unit saves on machines of usual speed against a run
+  // time of `slow_factor` times theirs, if it needs them to end in time; else
+  // 0.
+  double GainOnFast(const WaitingUnit& unit, double slow_factor) const;
+  static void StopVictims(PlanState& state,
+                          const WaitingUnit& unit,
+                          const UnitPlacement& placement);
 
   Options options_;
   TrialRules trials_;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -18,6 +18,16 @@
   return static_cast<std::int32_t>(std::max<std::int64_t>(0, available / need));
 }
 
+// Cheaper than counting, for the many workers that are full.
+bool AnyFits(const Resources& available, const Resources& need) {
+  const auto fits = [](std::int64_t have, std::int64_t wanted) {
+    return wanted <= 0 || have >= wanted;
+  };
+  return fits(available.accelerators, need.accelerators) &&
+         fits(available.cpu_milli, need.cpu_milli) &&
+         fits(available.memory_mb, need.memory_mb);
+}
+
 // Tasks of the unit's step that run on the worker or are planned for it.
 std::int32_t TasksOfStepOn(const WaitingUnit& unit,
                            const WorkerCapacity& worker) {
@@ -261,15 +271,22 @@
 std::optional<UnitPlacement> Assign(const std::vector<Candidate>& candidates,
                                     const WaitingUnit& unit,
                                     const PlacementOptions& options) {
+  std::optional<UnitPlacement> placement;
   switch (options.speed_order) {
+    case SpeedOrder::kIgnored:
+      placement = AssignMembers(candidates, unit);
+      break;
     case SpeedOrder::kFastFirst:
-      return AssignFastFirst(candidates, unit, options);
+      placement = AssignFastFirst(candidates, unit, options);
+      break;
     case SpeedOrder::kSlowFirst:
-      return AssignSlowFirst(candidates, unit, options);
-    case SpeedOrder::kIgnored:
+      placement = AssignSlowFirst(candidates, unit, options);
       break;
   }
-  return AssignMembers(candidates, unit);
+  if (placement) {
+    placement->speed_order = options.speed_order;
+  }
+  return placement;
 }
 
 std::int64_t FreeAccelerators(const WorkerList& workers) {
@@ -320,6 +337,18 @@
 
 }  // namespace
 
+const char* ToString(SpeedOrder order) {
+  switch (order) {
+    case SpeedOrder::kIgnored:
+      break;
+    case SpeedOrder::kFastFirst:
+      return "fast";
+    case SpeedOrder::kSlowFirst:
+      return "slow";
+  }
+  return "any";
+}
+
 double CoreEquivalent(const Resources& resources) {
   constexpr double kCoresPerAccelerator = 8;
   return static_cast<double>(resources.cpu_milli) / 1000 +
@@ -339,7 +368,8 @@
 std::int32_t MembersThatFit(const WaitingUnit& unit,
                             const WorkerCapacity& worker,
                             const Resources& available) {
-  if (!HasLabel(*worker.entry, unit.step->required_label) ||
+  if (!AnyFits(available, unit.member_need) ||
+      !HasLabel(*worker.entry, unit.step->required_label) ||
       worker.entry->report.service != unit.job->request.terms.service) {
     return 0;
   }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -9,6 +9,16 @@
 
 namespace marjoramplank {
 
+// How the speed of machines counts among the workers with room.
+enum class SpeedOrder : std::uint8_t {
+  kIgnored,    // Best fit only.
+  kFastFirst,  // The slowest member on the fastest machine possible.
+  // The slowest machines up to PlacementOptions::slack_class, whole gangs on
+  // slow ones; else as kFastFirst.
+  kSlowFirst,
+};
+const char* ToString(SpeedOrder order);  // "any", "fast", "slow".
+
 // Workers for the members of a unit, and the tasks to preempt for it.
 struct UnitPlacement {
   std::vector<MemberPlace> members;
@@ -19,15 +29,7 @@
   // Of the slowest member's worker.
   std::int32_t speed_class = 0;
   double slowness = 1;
-};
-
-// How the speed of machines counts among the workers with room.
-enum class SpeedOrder : std::uint8_t {
-  kIgnored,    // Best fit only.
-  kFastFirst,  // The slowest member on the fastest machine possible.
-  // The slowest machines up to PlacementOptions::slack_class, whole gangs on
-  // slow ones; else as kFastFirst.
-  kSlowFirst,
+  SpeedOrder speed_order = SpeedOrder::kIgnored;  // By which it was found.
 };
 
 // Restrictions of a search that may be lifted; all apply by default.
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -144,11 +144,13 @@
 
 std::optional<UnitPlacement> PreemptionSearch::FindOnWorkers(
     const WorkerList& workers,
-    const WaitingUnit& unit) {
+    const WaitingUnit& unit,
+    std::int32_t max_speed_class) {
   std::vector<Option> options;
   table_.CountExamined(workers.size());
   for (const WorkerCapacity* worker : workers) {
-    if (worker->is_quarantined || !MayShare(unit, *worker)) {
+    if (worker->is_quarantined || worker->speed_class > max_speed_class ||
+        !MayShare(unit, *worker)) {
       continue;
     }
     Option option = FindOnWorker(*worker, unit, unit.member_count);
@@ -211,14 +213,17 @@
   return seconds * CoreEquivalent(step.need) * members;
 }
 
-std::optional<UnitPlacement> PreemptionSearch::Find(const WaitingUnit& unit,
-                                                    bool allow_any_rack) {
+std::optional<UnitPlacement> PreemptionSearch::Find(
+    const WaitingUnit& unit,
+    bool allow_any_rack,
+    std::int32_t max_speed_class) {
   if (allow_any_rack) {
-    return FindOnWorkers(table_.workers(), unit);
+    return FindOnWorkers(table_.workers(), unit, max_speed_class);
   }
   std::optional<UnitPlacement> best;
   for (const auto& [rack, workers] : table_.workers_by_rack()) {
-    std::optional<UnitPlacement> placement = FindOnWorkers(workers, unit);
+    std::optional<UnitPlacement> placement =
+        FindOnWorkers(workers, unit, max_speed_class);
     if (placement &&
         (!best || std::tie(placement->urgent_victims, placement->cost) <
                       std::tie(best->urgent_victims, best->cost))) {
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -29,9 +29,12 @@
 
   // Finds victims so that the unit fits. Tasks that are stopping already cost
   // nothing. Empty: the unit does not fit even with every preemptible task of a
-  // lower priority gone.
-  std::optional<UnitPlacement> Find(const WaitingUnit& unit,
-                                    bool allow_any_rack);
+  // lower priority gone. Workers of higher speed classes than
+  // `max_speed_class` are left out.
+  std::optional<UnitPlacement> Find(
+      const WaitingUnit& unit,
+      bool allow_any_rack,
+      std::int32_t max_speed_class = kAnySpeedClass);
 
  private:
   struct Victim {
@@ -67,7 +70,8 @@
                       const WaitingUnit& unit,
                       std::int32_t wanted_members);
   std::optional<UnitPlacement> FindOnWorkers(const WorkerList& workers,
-                                             const WaitingUnit& unit);
+                                             const WaitingUnit& unit,
+                                             std::int32_t max_speed_class);
   static void PruneVictims(const WaitingUnit& unit,
                            const WorkerCapacity& worker,
                            Resources free,
--- a/src/dispatch/reservation.cc
+++ b/src/dispatch/reservation.cc
@@ -77,16 +77,28 @@
   return it->second;
 }
 
-void ReservationPlanner::AppendSlots(const WaitingUnit& gang,
+bool ReservationPlanner::IsUsable(const WaitingUnit& unit,
+                                  const WorkerCapacity& worker) const {
+  if (worker.is_quarantined || worker.hold ||
+      unit.unit->failed_on_workers.contains(Id(worker))) {
+    return false;
+  }
+  // Room that the unit could take now, but for these rules, is not worth a wait
+  // for faster machines.
+  return !table_.HasSlowWorkers() ||
+         (MayShare(unit, worker) &&
+          !unit.unit->HasCrashed(worker.entry->report.agent));
+}
+
+void ReservationPlanner::AppendSlots(const WaitingUnit& unit,
                                      const WorkerCapacity& worker,
                                      std::vector<Slot>& out) {
-  if (worker.is_quarantined || worker.hold ||
-      gang.unit->failed_on_workers.contains(Id(worker)) ||
-      MembersThatFit(gang, worker, worker.entry->report.capacity) == 0) {
+  if (!IsUsable(unit, worker) ||
+      MembersThatFit(unit, worker, worker.entry->report.capacity) == 0) {
     return;
   }
   Resources free = worker.free;
-  std::int32_t fitting_members = MembersThatFit(gang, worker, free);
+  std::int32_t fitting_members = MembersThatFit(unit, worker, free);
   out.insert(out.end(), static_cast<std::size_t>(fitting_members),
              {.ready_at = now_, .worker = &worker});
   for (const Release& release : ReleasesOf(worker)) {
@@ -94,38 +106,50 @@
       break;
     }
     free += release.need;
-    const std::int32_t fitting_then = MembersThatFit(gang, worker, free);
+    const std::int32_t fitting_then = MembersThatFit(unit, worker, free);
     for (; fitting_members < fitting_then; ++fitting_members) {
       out.push_back({.ready_at = release.at, .worker = &worker});
     }
   }
 }
 
-std::vector<ReservationPlanner::Slot> ReservationPlanner::FindSlots(
+std::vector<ReservationPlanner::Slot> ReservationPlanner::SortedSlots(
     const WorkerList& workers,
-    const WaitingUnit& gang) {
+    const WaitingUnit& unit,
+    std::int32_t max_speed_class) {
   std::vector<Slot> slots;
   table_.CountExamined(workers.size());
   for (const WorkerCapacity* worker : workers) {
-    AppendSlots(gang, *worker, slots);
-  }
-  const auto wanted = static_cast<std::size_t>(gang.member_count);
-  if (slots.size() < wanted) {
-    return {};
+    if (worker->speed_class <= max_speed_class) {
+      AppendSlots(unit, *worker, slots);
+    }
   }
   std::sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) {
     return a.ready_at != b.ready_at ? a.ready_at < b.ready_at
                                     : Id(*a.worker) < Id(*b.worker);
   });
+  return slots;
+}
+
+std::vector<ReservationPlanner::Slot> ReservationPlanner::FindSlots(
+    const WorkerList& workers,
+    const WaitingUnit& gang,
+    std::int32_t max_speed_class) {
+  std::vector<Slot> slots = SortedSlots(workers, gang, max_speed_class);
+  const auto wanted = static_cast<std::size_t>(gang.member_count);
+  if (slots.size() < wanted) {
+    return {};
+  }
   slots.resize(wanted);
   return slots;
 }
 
 std::vector<ReservationPlanner::Slot> ReservationPlanner::FindSlotsInOneRack(
-    const WaitingUnit& gang) {
+    const WaitingUnit& gang,
+    std::int32_t max_speed_class) {
   std::vector<Slot> soonest;
   for (const auto& [rack, workers] : table_.workers_by_rack()) {
-    std::vector<Slot> slots = FindSlots(workers, gang);
+    std::vector<Slot> slots = FindSlots(workers, gang, max_speed_class);
     if (!slots.empty() &&
         (soonest.empty() || slots.back().ready_at < soonest.back().ready_at)) {
       soonest = std::move(slots);
@@ -134,8 +158,24 @@
   return soonest;
 }
 
-void ReservationPlanner::Hold(const WaitingUnit& gang,
-                              const std::vector<Slot>& slots) {
+std::vector<ReservationPlanner::Slot> ReservationPlanner::FindSlotsInScope(
+    const WaitingUnit& gang,
+    ReservationScope scope,
+    std::int32_t max_speed_class) {
+  if (scope == ReservationScope::kOneRack) {
+    return FindSlotsInOneRack(gang, max_speed_class);
+  }
+  if (scope == ReservationScope::kAnyWorker) {
+    return FindSlots(table_.workers(), gang, max_speed_class);
+  }
+  const auto rack = table_.workers_by_rack().find(gang.step->data_rack);
+  return rack == table_.workers_by_rack().end()
+             ? std::vector<Slot>()
+             : FindSlots(rack->second, gang, max_speed_class);
+}
+
+std::optional<Time> ReservationPlanner::Hold(const WaitingUnit& gang,
+                                             const std::vector<Slot>& slots) {
   const Time start_at = slots.back().ready_at;
   std::map<WorkerIncarnation, Resources> needs;
   for (const Slot& slot : slots) {
@@ -145,7 +185,7 @@
       static_cast<std::size_t>(options_.max_reserved_fraction *
                                static_cast<double>(table_.workers().size()));
   if (reserved_workers_ + needs.size() > limit) {
-    return;
+    return std::nullopt;
   }
   for (const auto& [incarnation, need] : needs) {
     WorkerCapacity& worker = *table_.Find(incarnation);
@@ -158,26 +198,73 @@
     worker.hold = {.until = start_at, .spare = spare};
   }
   reserved_workers_ += needs.size();
-  reservations_.push_back(
-      {.gang = gang.first_task, .start_at = start_at, .workers = needs.size()});
+  return start_at;
 }
 
 void ReservationPlanner::Reserve(const WaitingUnit& gang,
-                                 ReservationScope scope) {
+                                 ReservationScope scope,
+                                 bool starts_anywhere) {
   ++searches_;
-  std::vector<Slot> slots;
-  if (scope == ReservationScope::kOneRack) {
-    slots = FindSlotsInOneRack(gang);
-  } else if (scope == ReservationScope::kAnyWorker) {
-    slots = FindSlots(table_.workers(), gang);
-  } else if (const auto rack =
-                 table_.workers_by_rack().find(gang.step->data_rack);
-             rack != table_.workers_by_rack().end()) {
-    slots = FindSlots(rack->second, gang);
+  std::vector<Slot> best;
+  Time best_end{0};
+  for (const auto& [speed_class, factor] : table_.speed_classes()) {
+    const bool is_last = speed_class == table_.speed_classes().rbegin()->first;
+    if (starts_anywhere && !is_last) {
+      continue;
+    }
+    std::vector<Slot> slots = FindSlotsInScope(gang, scope, speed_class);
+    if (slots.empty()) {
+      continue;
+    }
+    const Time end = slots.back().ready_at + ScaledBy(factor, gang.run_time);
+    if (best.empty() || end < best_end) {
+      best = std::move(slots);
+      best_end = end;
+    }
+  }
+  if (best.empty()) {
+    return;
+  }
+  if (const std::optional<Time> start_at = Hold(gang, best)) {
+    std::set<WorkerIncarnation> workers;
+    for (const Slot& slot : best) {
+      workers.insert(Id(*slot.worker));
+    }
+    reservations_.push_back({.gang = gang.first_task,
+                             .start_at = *start_at,
+                             .workers = workers.size()});
+  }
+}
+
+std::optional<Time> ReservationPlanner::HoldBefore(
+    const WaitingUnit& gang,
+    ReservationScope scope,
+    std::int32_t max_speed_class,
+    const std::function<bool(Time)>& is_acceptable) {
+  const std::vector<Slot> slots =
+      FindSlotsInScope(gang, scope, max_speed_class);
+  return slots.empty() || !is_acceptable(slots.back().ready_at)
+             ? std::nullopt
+             : Hold(gang, slots);
+}
+
+std::vector<Time> ReservationPlanner::ReadyTimes(const WaitingUnit& unit,
+                                                 ReservationScope scope,
+                                                 std::int32_t max_speed_class) {
+  const bool in_data_rack = scope == ReservationScope::kDataRack;
+  const auto rack = table_.workers_by_rack().find(unit.step->data_rack);
+  if (in_data_rack && rack == table_.workers_by_rack().end()) {
+    return {};
   }
-  if (!slots.empty()) {
-    Hold(gang, slots);
+  WaitingUnit all_tasks = unit;
+  all_tasks.member_count = unit.step->tasks;
+  std::vector<Time> out;
+  for (const Slot& slot :
+       SortedSlots(in_data_rack ? rack->second : table_.workers(), all_tasks,
+                   max_speed_class)) {
+    out.push_back(slot.ready_at);
   }
+  return out;
 }
 
 IdleJobs::IdleJobs(const Ledger& ledger, const CapacityTable& table) {
--- a/src/dispatch/reservation.h
+++ b/src/dispatch/reservation.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,9 +60,24 @@
 
   // True until the reservations or the searches of this plan are used up.
   bool MayReserve() const;
-  // Reserves workers for the gang. No effect if it can never fit there, or if
-  // too many workers would be reserved.
-  void Reserve(const WaitingUnit& gang, ReservationScope scope);
+  // Reserves workers for the gang where it is expected to end soonest; with
+  // `starts_anywhere`, where it starts soonest. No effect if it can never fit
+  // there, or if too many workers would be reserved.
+  void Reserve(const WaitingUnit& gang,
+               ReservationScope scope,
+               bool starts_anywhere);
+  // Reserves workers up to the speed class if the expected start of the gang is
+  // acceptable. Empty: nothing was reserved.
+  std::optional<Time> HoldBefore(
+      const WaitingUnit& gang,
+      ReservationScope scope,
+      std::int32_t max_speed_class,
+      const std::function<bool(Time)>& is_acceptable);
+  // When there is expected to be room for one task after the other like the
+  // unit, on workers up to the speed class. Ascending.
+  std::vector<Time> ReadyTimes(const WaitingUnit& unit,
+                               ReservationScope scope,
+                               std::int32_t max_speed_class);
 
   const std::vector<Reservation>& reservations() const { return reservations_; }
 
@@ -79,14 +96,27 @@
   // Of the slowest member's worker.
   double SlownessOfGang(const LedgerJob& job, const TaskRef& task);
   const std::vector<Release>& ReleasesOf(const WorkerCapacity& worker);
-  void AppendSlots(const WaitingUnit& gang,
+  bool IsUsable(const WaitingUnit& unit, const WorkerCapacity& worker) const;
+  void AppendSlots(const WaitingUnit& unit,
                    const WorkerCapacity& worker,
                    std::vector<Slot>& out);
-  // The gang's members on the workers, soonest first. Empty: it never fits.
+  // Room for tasks like those of the unit on workers up to the speed class,
+  // soonest first.
+  std::vector<Slot> SortedSlots(const WorkerList& workers,
+                                const WaitingUnit& unit,
+                                std::int32_t max_speed_class);
+  // The gang's members, soonest first. Empty: it never fits there.
   std::vector<Slot> FindSlots(const WorkerList& workers,
-                              const WaitingUnit& gang);
-  std::vector<Slot> FindSlotsInOneRack(const WaitingUnit& gang);
-  void Hold(const WaitingUnit& gang, const std::vector<Slot>& slots);
+                              const WaitingUnit& gang,
+                              std::int32_t max_speed_class);
+  std::vector<Slot> FindSlotsInOneRack(const WaitingUnit& gang,
+                                       std::int32_t max_speed_class);
+  std::vector<Slot> FindSlotsInScope(const WaitingUnit& gang,
+                                     ReservationScope scope,
+                                     std::int32_t max_speed_class);
+  // Returns the expected start. Empty: too many workers would be reserved.
+  std::optional<Time> Hold(const WaitingUnit& gang,
+                           const std::vector<Slot>& slots);
 
   const Options options_;
   const Time now_;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -33,8 +33,10 @@
 
 // A plan that takes longer is logged: orders wait for it.
 constexpr Duration kSlowPlan = 50ms;
-// A reservation that lasts is logged this often.
-constexpr Duration kReservationLogInterval = 1s;
+// A reservation or a wait that lasts is logged this often.
+constexpr Duration kWaitLogInterval = 1s;
+
+constexpr double kPercent = 100;
 
 // Longest wait for the resignation and for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 700ms;
@@ -269,16 +271,27 @@
 }
 
 void EntryNode::LogDecisions(const std::vector<LedgerRecord>& records,
+                             const Dispatcher::Trace& trace,
                              std::int64_t position) {
+  auto start = trace.starts.begin();  // In the order of the records.
   for (const LedgerRecord& record : records) {
     if (const auto* r = std::get_if<RunStarted>(&record)) {
       metrics_.Add(Counter::kGangStarts);
+      metrics_.Add(Counter::kSlowStarts, start->speed_class > 0 ? 1 : 0);
       LogEvent event("decide_start");
       event.With("task", ToString(r->first)).With("run", r->run);
       for (const MemberPlace& m : r->members) {
         event.With("on", m.incarnation.id);
       }
-      event.With("resumes", !r->checkpoint.empty()).With("position", position);
+      event.With("expected_ms", start->expected_run_time.count())
+          .With("slowness_percent",
+                static_cast<std::int64_t>(start->slowness * kPercent))
+          .With("sample_age_ms", start->sample_age.count())
+          .With("order", ToString(start->speed_order))
+          .With("waited_for_fast", fast_waits_logged_at_.contains(r->first))
+          .With("resumes", !r->checkpoint.empty())
+          .With("position", position);
+      ++start;
     } else if (const auto* r = std::get_if<RunStopped>(&record)) {
       LogEvent("decide_stop")
           .With("task", ToString(r->first))
@@ -321,7 +334,7 @@
 void EntryNode::LogReservations(const std::vector<Reservation>& reservations,
                                 Time now) {
   std::erase_if(reservations_logged_at_, [&](const auto& logged) {
-    return now - logged.second >= kReservationLogInterval;
+    return now - logged.second >= kWaitLogInterval;
   });
   for (const Reservation& r : reservations) {
     if (!reservations_logged_at_.try_emplace(r.gang, now).second) {
@@ -334,6 +347,25 @@
   }
 }
 
+void EntryNode::LogFastWaits(const std::vector<FastWait::Wait>& waits,
+                             Time now) {
+  std::erase_if(fast_waits_logged_at_, [&](const auto& logged) {
+    return now - logged.second >= kWaitLogInterval;
+  });
+  for (const FastWait::Wait& w : waits) {
+    if (!fast_waits_logged_at_.try_emplace(w.unit, now).second) {
+      continue;
+    }
+    metrics_.Add(Counter::kFastWaits);
+    LogEvent("wait_for_fast")
+        .With("unit", ToString(w.unit))
+        .With("units", w.units)
+        .With("expected_wait_ms", w.expected_wait.count())
+        .With("fast_ms", w.expected_run_time.count())
+        .With("slow_ms", w.slow_run_time.count());
+  }
+}
+
 void EntryNode::PlanOnce(Time now, std::int64_t epoch) {
   std::vector<LedgerRecord> records;
   if (now - last_heartbeat_at_ >= options_.planner_heartbeat_interval) {
@@ -361,7 +393,8 @@
       });
   LogPlan(trace, took, now - planned_on.as_of, planned_on.position);
   LogReservations(trace.reservations, now);
-  LogDecisions(plan, planned_on.position);
+  LogFastWaits(trace.fast_waits, now);
+  LogDecisions(plan, trace, planned_on.position);
   records.insert(records.end(), plan.begin(), plan.end());
   if (!records.empty()) {
     AwaitReplay(leadership_.Append(records, epoch));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -101,7 +101,9 @@
                Duration ledger_age,
                std::int64_t position);
   void LogReservations(const std::vector<Reservation>& reservations, Time now);
+  void LogFastWaits(const std::vector<FastWait::Wait>& waits, Time now);
   void LogDecisions(const std::vector<LedgerRecord>& records,
+                    const Dispatcher::Trace& trace,
                     std::int64_t position);
 
   const Options options_;
@@ -124,6 +126,8 @@
   std::int64_t snapshot_position_ = 0;
   // When the reservation of each gang was last logged. Older ones are dropped.
   std::map<TaskRef, Time> reservations_logged_at_;
+  // The same for units that wait for fast machines.
+  std::map<TaskRef, Time> fast_waits_logged_at_;
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> resign_requested_{false};
   std::atomic<bool> has_resigned_{false};
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -46,6 +46,9 @@
     {"tasks_stopped_total", "Tasks stopped on request"},
     {"lease_lapses_total", "Tasks whose lease lapsed"},
     {"worker_crashes_total", "Workers whose process ended unannounced"},
+    {"slow_starts_total", "Starts with a member on a slow machine"},
+    {"fast_waits_total",
+     "Waits for fast machines, once a second for each unit"},
 };
 
 constexpr MetricInfo kGauges[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -41,6 +41,8 @@
   kTasksStopped,     // Agent: tasks stopped on request.
   kLeaseLapses,      // Agent: tasks whose lease expired.
   kWorkerCrashes,    // Planner: workers that crashed.
+  kSlowStarts,       // Planner: starts with a member on a slow machine.
+  kFastWaits,  // Planner: waits for fast machines, once a second for each unit.
   kCount,
 };
 
--- a/tests/unit/dispatch_scale_test.cc
+++ b/tests/unit/dispatch_scale_test.cc
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 #include "src/dispatch/dispatcher.h"
+#include "tests/support/trained_ledger.h"
 
 namespace marjoramplank {
 namespace {
@@ -60,6 +62,17 @@
   }
 }
 
+// Every third machine is slow, and all are known.
+void LearnSpeeds(Ledger& ledger) {
+  constexpr double kSlowness = 2.2;
+  std::vector<TrainedMachine> machines;
+  for (int n = 0; n < kWorkers; ++n) {
+    machines.push_back(
+        {.worker = MakeIncarnation(n), .slowness = n % 3 == 0 ? kSlowness : 1});
+  }
+  TrainMachines(ledger, kNow, machines);
+}
+
 void FillWorkers(Ledger& ledger) {
   AddSheets(ledger, "running", kWorkers * 8 / kTasksPerSheet);
   const RulesView rules;
@@ -85,6 +98,9 @@
 TEST_CASE("the work of a plan grows with steps, not with waiting tasks",
           "[dispatcher][scale]") {
   Ledger ledger = Cluster();
+  if (GENERATE(false, true)) {
+    LearnSpeeds(ledger);
+  }
   FillWorkers(ledger);
 
   SECTION("thousands of single tasks wait while every worker is full") {
