--- a/src/dispatch/fast_wait.cc
+++ b/src/dispatch/fast_wait.cc
@@ -92,11 +92,14 @@
       return false;
     }
     ready_at = ready_times[waiting_tasks_];
-    units = in_time - waiting_tasks_;
+    units = std::min(
+        in_time - waiting_tasks_,
+        static_cast<std::size_t>(unit.step->tasks - unit.first_task.index));
     waits_of_steps_[FirstTaskOfStep(unit.first_task)] = units - 1;
-    waiting_tasks_ = in_time;
+    waiting_tasks_ += units;
   }
   waits_.push_back({.unit = unit.first_task,
+                    .units = units,
                     .expected_wait = ready_at - unit.planned_at,
                     .expected_run_time = ScaledBy(fast_factor, unit.run_time),
                     .slow_run_time = ScaledBy(slow_factor, unit.run_time)});
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -18,6 +18,16 @@
   return static_cast<std::int32_t>(std::max<std::int64_t>(0, available / need));
 }
 
+// Cheaper than counting, for the many workers that are full.
+bool AnyFits(const Resources& available, const Resources& need) {
+  const auto fits = [](std::int64_t have, std::int64_t wanted) {
+    return wanted <= 0 || have >= wanted;
+  };
+  return fits(available.accelerators, need.accelerators) &&
+         fits(available.cpu_milli, need.cpu_milli) &&
+         fits(available.memory_mb, need.memory_mb);
+}
+
 // Tasks of the unit's step that run on the worker or are planned for it.
 std::int32_t TasksOfStepOn(const WaitingUnit& unit,
                            const WorkerCapacity& worker) {
@@ -358,7 +368,8 @@
 std::int32_t MembersThatFit(const WaitingUnit& unit,
                             const WorkerCapacity& worker,
                             const Resources& available) {
-  if (!HasLabel(*worker.entry, unit.step->required_label) ||
+  if (!AnyFits(available, unit.member_need) ||
+      !HasLabel(*worker.entry, unit.step->required_label) ||
       worker.entry->report.service != unit.job->request.terms.service) {
     return 0;
   }
--- a/tests/unit/expected_end_placement_test.cc
+++ b/tests/unit/expected_end_placement_test.cc
@@ -328,6 +328,22 @@
     CHECK(c.WorkersOf("whole").size() == 8);
   }
 
+  SECTION("single tasks without slack: as many wait as find room in time") {
+    // Of a priority that batch work does not preempt.
+    c.Run(kBegin, "full", kGangs, BatchStep(0), Each(all_fast, 4));
+    QueueTerms tight = kBatch;
+    tight.stretch = 1;
+    tight.target = 5s;
+    const Time at = kBegin + 6400ms;
+    c.Submit(at, "b", tight, BatchStep(30));
+    c.Plan(at);
+    CHECK(c.WorkersOf("b").size() == 6);
+    CHECK(AllIn(c.WorkersOf("b"), slow));
+    REQUIRE(c.trace().fast_waits.size() == 1);
+    CHECK(c.trace().fast_waits[0].units == 24);
+    CHECK(c.trace().fast_waits[0].expected_wait == 1600ms);
+  }
+
   SECTION("gangs with slack run on slow workers only, or on fast ones only") {
     const std::int32_t tasks = GENERATE(8, 13);
     c.Submit(kBegin, "g", kGangs,
@@ -433,6 +449,21 @@
   }
 }
 
+// Guards against a guaranteed start that a long estimate delays beyond its
+// bound.
+TEST_CASE("a guaranteed unit waits for its data's rack for a bounded time",
+          "[dispatcher][guarantee]") {
+  Cluster c({1, 1}, 1);
+  c.Run(kBegin, "full", kUrgent, BatchStep(0), Each({0}, 4));
+  c.Submit(kBegin, "u", kUrgent,
+           {.need = {.accelerators = 1}, .estimate = 60s, .data_rack = "r0"},
+           "guaranteed");
+  c.Plan(kBegin);
+  CHECK(c.WorkersOf("u").empty());
+  c.Plan(kBegin + 1200ms);
+  CHECK(c.WorkersOf("u") == std::vector<int>{1});
+}
+
 // Guards against reservations on slow workers that a gang would then not take.
 TEST_CASE("a reserved gang counts on workers where it ends soonest",
           "[dispatcher][speed][reservation]") {
