Dispatch: preemption weighs gain against loss, by learned run times

A victim's cost is the work it has really done, plus the credit its job loses; a unit beyond a guarantee stops others only if it gains more, and waits for runs that end in time. Adds migration of runs that slow machines make late.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -198,8 +198,9 @@
   }
 }
 
-void Dispatcher::StopStalledRuns(const Input& in,
-                                 std::vector<LedgerRecord>& out) const {
+std::set<TaskRef> Dispatcher::StopStalledRuns(
+    const Input& in,
+    std::vector<LedgerRecord>& out) const {
   std::set<TaskRef> stopped_units;
   for (const auto& [incarnation, worker] : in.ledger.workers()) {
     for (const auto& [task, run] : worker.runs) {
@@ -216,6 +217,7 @@
       }
     }
   }
+  return stopped_units;
 }
 
 Time Dispatcher::ExpectedEnd(Time now, const JobStep& step) const {
@@ -290,43 +292,45 @@
   reservations.Reserve(unit, scope);
 }
 
-bool Dispatcher::Preempt(const Input& in,
-                         CapacityTable& table,
-                         PreemptionSearch& search,
-                         const WaitingUnit& unit,
-                         std::set<TaskRef>& stopped_units,
-                         std::vector<LedgerRecord>& out) const {
-  const bool is_same_rack_gang = unit.step->gang && unit.step->same_rack;
-  std::optional<UnitPlacement> placement;
-  if (is_same_rack_gang) {
-    placement = search.Find(unit, /*allow_any_rack=*/false);
-  }
-  if (!placement) {
-    placement = search.Find(unit, /*allow_any_rack=*/true);
-  }
-  if (!placement ||
-      (!unit.is_guaranteed &&
-       placement->cost > options_.preemption_limit_core_seconds)) {
-    return false;
-  }
-  for (const TaskRef& task : placement->victims) {
-    const LedgerJob* job = in.ledger.FindJob(task.job);
-    if (job == nullptr || job->ended()) {
-      continue;  // The job has ended, so its tasks stop already.
+PreemptionVerdict Dispatcher::Preempt(const Input& in,
+                                      CapacityTable& table,
+                                      PreemptionSearch& search,
+                                      const WaitingUnit& unit,
+                                      std::set<TaskRef>& stopped_units,
+                                      std::vector<LedgerRecord>& out) const {
+  const PreemptionDecision decision =
+      search.Decide(unit, options_.preemption_limit_core_seconds);
+  const UnitPlacement& placement = decision.placement;
+  if (decision.verdict != PreemptionVerdict::kAccepted) {
+    if (in.trace != nullptr &&
+        decision.verdict != PreemptionVerdict::kNoVictims) {
+      in.trace->declined_preemptions.push_back(
+          {.for_unit = unit.first_task,
+           .verdict = decision.verdict,
+           .stops = placement.victims.size(),
+           .lost_core_seconds = placement.cost,
+           .gain = decision.gain,
+           .loss = decision.loss});
     }
-    const TaskRef first = FirstTaskOfUnit(*job, task);
+    return decision.verdict;
+  }
+  for (const TaskRef& first : placement.victims) {
+    const LedgerJob& job = in.ledger.jobs().at(first.job);
     const RunUnit& victim =
-        job->occurrences[static_cast<std::size_t>(first.occurrence)]
-                        [static_cast<std::size_t>(first.step)]
-                            .units[static_cast<std::size_t>(first.index)];
+        job.occurrences[static_cast<std::size_t>(first.occurrence)]
+                       [static_cast<std::size_t>(first.step)]
+                           .units[static_cast<std::size_t>(first.index)];
     if (victim.stop_requested || !stopped_units.insert(first).second) {
       continue;
     }
+    search.MarkStopped(first, unit.is_guaranteed);
     if (in.trace != nullptr) {
       in.trace->preemptions.push_back({.for_unit = unit.first_task,
                                        .is_guaranteed = unit.is_guaranteed,
                                        .victim = first,
-                                       .lost_core_seconds = placement->cost});
+                                       .lost_core_seconds = placement.cost,
+                                       .gain = decision.gain,
+                                       .loss = decision.loss});
     }
     out.emplace_back(RunStopped{.epoch = in.epoch,
                                 .first = first,
@@ -335,8 +339,22 @@
   }
   // Includes what is free already, so that units later in the order cannot use
   // it.
-  ReservePlacement(unit, *placement, table);
-  return true;
+  ReservePlacement(unit, placement, table);
+  return PreemptionVerdict::kAccepted;
+}
+
+void Dispatcher::StopMigrating(const Input& in,
+                               const std::vector<Migration>& migrations,
+                               std::vector<LedgerRecord>& out) {
+  for (const Migration& m : migrations) {
+    out.emplace_back(RunStopped{.epoch = in.epoch,
+                                .first = m.first,
+                                .run = m.run,
+                                .cause = StopCause::kMigrated});
+  }
+  if (in.trace != nullptr) {
+    in.trace->migrations = migrations;
+  }
 }
 
 void Dispatcher::ReservePlacement(const WaitingUnit& unit,
@@ -356,9 +374,8 @@
   if (!out.empty()) {
     return out;  // The next plan uses the capacity that this frees.
   }
-  StopStalledRuns(in, out);
+  std::set<TaskRef> stopped_units = StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
-  std::set<TaskRef> stopped_units;
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   const std::vector<WaitingUnit> waiting_units =
       SortedWaitingUnits(in, guaranteed_jobs);
@@ -366,7 +383,15 @@
     in.trace->usable_workers = table.workers().size();
     in.trace->waiting_units = waiting_units.size();
   }
-  PreemptionSearch search(in.now, in.ledger, table, guaranteed_jobs);
+  RunForecast forecast({.default_estimate = options_.default_estimate}, in.now,
+                       in.unix_ms, in.ledger);
+  PreemptionSearch search(options_.preemption, forecast, table,
+                          guaranteed_jobs);
+  MigrationPlanner migrations(options_.migration, forecast, table);
+  std::vector<const WaitingUnit*> unplaced;  // One of each step.
+  for (const TaskRef& first : stopped_units) {
+    search.MarkStopped(first, /*is_guaranteed=*/true);
+  }
   ReservationPlanner reservations(options_.reservations, in.now, in.ledger,
                                   table);
   IdleJobs idle_jobs(in.ledger, table);
@@ -379,6 +404,7 @@
         (unit.needs_trial && !trials_.MayHostMore(table))) {
       continue;
     }
+    migrations.ReserveBefore(unit);
     if (const std::optional<UnitPlacement> placement =
             FindPlacementWithFallback(in, table, unit,
                                       idle_jobs.MayUseReserved(unit))) {
@@ -389,20 +415,23 @@
     }
     const bool may_preempt =
         unit.is_guaranteed || unit.job->request.terms.priority == 0;
-    const bool has_room =
-        may_preempt && Preempt(in, table, search, unit, stopped_units, out);
-    if (has_room) {
+    const PreemptionVerdict verdict =
+        may_preempt ? Preempt(in, table, search, unit, stopped_units, out)
+                    : PreemptionVerdict::kNoVictims;
+    if (verdict == PreemptionVerdict::kAccepted) {
       continue;
     }
+    unplaced.push_back(&unit);
     if (unit.needs_trial) {
       TrialRules::KeepWorkerFree(unit, table);
       continue;
     }
     unplaceable_steps.insert(step);
-    if (!may_preempt) {
+    if (!may_preempt || verdict == PreemptionVerdict::kCanWait) {
       ReserveForGang(in, table, unit, reservations);
     }
   }
+  StopMigrating(in, migrations.Choose(unplaced, stopped_units), out);
   if (in.trace != nullptr) {
     in.trace->reservations = reservations.reservations();
     in.trace->examined_workers = table.examined_workers();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "src/dispatch/migration.h"
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
@@ -47,6 +48,8 @@
     // Most work that a unit of priority 0 beyond its account's guarantee may
     // cost its victims.
     double preemption_limit_core_seconds = 1500;
+    PreemptionPolicy preemption;
+    MigrationPolicy migration;
     // Estimated run time of a step that has no declared or learned one.
     Duration default_estimate{5000};
     // How long before its due time an occurrence of a recurring job may start.
@@ -63,6 +66,17 @@
     bool is_guaranteed = false;    // `for_unit` is within its guarantee.
     TaskRef victim;                // First task of the displaced unit.
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
+    double gain = 0;               // See PreemptionPolicy. 0: guaranteed.
+    double loss = 0;
+  };
+  // A unit that could have displaced others but does not.
+  struct DeclinedPreemption {
+    TaskRef for_unit;
+    PreemptionVerdict verdict = PreemptionVerdict::kNoVictims;
+    std::size_t stops = 0;         // That it would have needed.
+    double lost_core_seconds = 0;  // By all of them.
+    double gain = 0;               // 0: not weighed.
+    double loss = 0;
   };
   struct LostWorker {
     WorkerIncarnation incarnation;
@@ -76,6 +90,8 @@
     // Workers that were examined, counted once for each search.
     std::int64_t examined_workers = 0;
     std::vector<Preemption> preemptions;
+    std::vector<DeclinedPreemption> declined_preemptions;
+    std::vector<Migration> migrations;
     std::vector<Reservation> reservations;
   };
 
@@ -113,7 +129,9 @@
                                CapacityTable& table);
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
-  void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
+  // Returns the units that are stopped.
+  std::set<TaskRef> StopStalledRuns(const Input& in,
+                                    std::vector<LedgerRecord>& out) const;
   Time ExpectedEnd(Time now, const JobStep& step) const;
   // True while the unit waits for its preferred rack.
   bool WaitsForRack(const Input& in,
@@ -130,14 +148,17 @@
                       const CapacityTable& table,
                       const WaitingUnit& unit,
                       ReservationPlanner& reservations) const;
-  // Stops victims for the unit and reserves its capacity. `stopped_units` holds
-  // the units that this plan stops. Returns false if nothing may be preempted.
-  bool Preempt(const Input& in,
-               CapacityTable& table,
-               PreemptionSearch& search,
-               const WaitingUnit& unit,
-               std::set<TaskRef>& stopped_units,
-               std::vector<LedgerRecord>& out) const;
+  // Stops victims for the unit and reserves its capacity, if that is worth it.
+  // `stopped_units` holds the units that this plan stops.
+  PreemptionVerdict Preempt(const Input& in,
+                            CapacityTable& table,
+                            PreemptionSearch& search,
+                            const WaitingUnit& unit,
+                            std::set<TaskRef>& stopped_units,
+                            std::vector<LedgerRecord>& out) const;
+  static void StopMigrating(const Input& in,
+                            const std::vector<Migration>& migrations,
+                            std::vector<LedgerRecord>& out);
 
   Options options_;
   TrialRules trials_;
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/preemption.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace marjoramplank {
@@ -11,16 +12,59 @@
 // the stop, so only the restart is lost. Twice the longest restore time seen on
 // the platform, since the delay of the stop and start records in the ledger
 // comes on top.
-constexpr double kRestartSeconds = 0.5;
+constexpr Duration kRestartTime{500};
+
+// Costs within this factor count as equal: fewer victims are preferred then.
+constexpr double kSimilarCostFactor = 1.2;
+
+// Costs of less than a core-second are equal.
+int CostClass(double cost) {
+  return cost <= 1 ? 0
+                   : 1 + static_cast<int>(std::log(cost) /
+                                          std::log(kSimilarCostFactor));
+}
+
+const WorkerIncarnation& Id(const WorkerCapacity& worker) {
+  return worker.entry->report.incarnation;
+}
 
 }  // namespace
 
+const char* ToString(PreemptionVerdict verdict) {
+  switch (verdict) {
+    case PreemptionVerdict::kAccepted:
+      return "accepted";
+    case PreemptionVerdict::kNoVictims:
+      return "no_victims";
+    case PreemptionVerdict::kNoCredit:
+      return "no_credit";
+    case PreemptionVerdict::kTooManyStops:
+      return "too_many_stops";
+    case PreemptionVerdict::kCostLimit:
+      return "cost_limit";
+    case PreemptionVerdict::kCanWait:
+      return "can_wait";
+    case PreemptionVerdict::kLossTooHigh:
+      return "loss_too_high";
+  }
+  return "unknown";
+}
+
+// Capacity for some of the unit's members on one worker.
 struct PreemptionSearch::Option {
   const WorkerCapacity* worker = nullptr;
   std::int32_t fitting_members = 0;
-  std::vector<const Victim*> victims;
+  Victims victims;
   std::int32_t urgent_victims = 0;
   double cost = 0;
+
+  // Better options for a member come first.
+  auto Key() const {
+    const double members = std::max(fitting_members, 1);
+    return std::tuple(urgent_victims, CostClass(cost / members),
+                      static_cast<double>(victims.size()) / members,
+                      cost / members);
+  }
 };
 
 PreemptionSearch::Rank PreemptionSearch::RankOf(const WaitingUnit& unit) {
@@ -44,32 +88,82 @@
   return !step.long_running || (rank.is_guaranteed && !step.max_unavailable);
 }
 
+bool PreemptionSearch::IsSpared(const LiveRun& run, const RunUnit& unit) const {
+  return unit.displacements >= policy_.max_displacements ||
+         (unit.displacements > 0 && forecast_.now() - run.first_seen_at <
+                                        policy_.min_run_after_displacement);
+}
+
+double PreemptionSearch::CostOf(const Victim& victim, const Rank& rank) {
+  return rank.is_guaranteed
+             ? victim.lost_work
+             : victim.lost_work * value_.CreditWeight(*victim.job) +
+                   value_.CreditLoss(*victim.job, victim.first, *victim.unit);
+}
+
+void PreemptionSearch::AppendVictim(const LedgerWorker& entry,
+                                    const TaskRef& task,
+                                    const LiveRun& run,
+                                    const Rank& rank,
+                                    VictimList& out) {
+  if (run.must_stop) {
+    out.ending += run.need;
+    return;
+  }
+  const LedgerJob* job = forecast_.ledger().FindJob(task.job);
+  if (job == nullptr || job->ended()) {
+    return;
+  }
+  const auto step = static_cast<std::size_t>(task.step);
+  if (!MayPreempt(rank, *job, job->request.steps[step])) {
+    return;
+  }
+  const TaskRef first = FirstTaskOfUnit(*job, task);
+  const RunUnit& unit =
+      job->occurrences[static_cast<std::size_t>(first.occurrence)][step]
+          .units[static_cast<std::size_t>(first.index)];
+  out.total += run.need;
+  // The members of a gang follow each other.
+  if (!out.victims.empty() && out.victims.back().unit == &unit) {
+    out.victims.back().need += run.need;
+    return;
+  }
+  Victim victim{.first = first,
+                .job = job,
+                .unit = &unit,
+                .need = run.need,
+                .is_urgent = job->request.terms.priority <= rank.priority,
+                .lost_work = LostWork(forecast_, entry, task, run)};
+  victim.cost = CostOf(victim, rank);
+  out.victims.push_back(std::move(victim));
+}
+
 PreemptionSearch::VictimList PreemptionSearch::ListVictims(
     const LedgerWorker& entry,
-    const Rank& rank) const {
+    const Rank& rank) {
   VictimList out;
   for (const auto& [task, run] : entry.runs) {
-    double cost = 0;  // Of a run that is stopping already.
-    bool is_urgent = false;
-    if (!run.must_stop) {
-      const LedgerJob* job = ledger_.FindJob(task.job);
-      if (job == nullptr || job->ended() ||
-          !MayPreempt(
-              rank, *job,
-              job->request.steps[static_cast<std::size_t>(task.step)])) {
-        continue;
+    AppendVictim(entry, task, run, rank, out);
+  }
+  if (!rank.is_guaranteed) {
+    std::erase_if(out.victims, [&](const Victim& v) {
+      const bool ends_soon =
+          forecast_.RemainingOfUnit(v.first, *v.unit) <= policy_.stop_time;
+      const LiveRun& run = entry.runs.lower_bound(v.first)->second;
+      const bool is_kept = ends_soon || IsSpared(run, *v.unit);
+      if (is_kept) {
+        out.total -= v.need;
       }
-      cost = LostWork(now_, ledger_, task, run);
-      is_urgent = job->request.terms.priority <= rank.priority;
-    }
-    out.victims.push_back(
-        {.task = task, .need = run.need, .is_urgent = is_urgent, .cost = cost});
-    out.total += run.need;
+      if (ends_soon) {
+        out.ending += v.need;
+      }
+      return is_kept;
+    });
   }
   std::sort(out.victims.begin(), out.victims.end(),
             [](const Victim& a, const Victim& b) {
-              return std::tie(a.is_urgent, a.cost, a.task) <
-                     std::tie(b.is_urgent, b.cost, b.task);
+              return std::tie(a.is_urgent, a.cost, a.first) <
+                     std::tie(b.is_urgent, b.cost, b.first);
             });
   return out;
 }
@@ -90,7 +184,7 @@
                                     const WorkerCapacity& worker,
                                     Resources free,
                                     std::int32_t fitting_members,
-                                    std::vector<const Victim*>& victims) {
+                                    Victims& victims) {
   for (std::size_t n = victims.size(); n > 0; --n) {
     const Resources free_without_victim = free - victims[n - 1]->need;
     if (std::min(unit.member_count,
@@ -102,39 +196,35 @@
   }
 }
 
-// Selects few victims on one worker so that up to `wanted_members` fit.
-PreemptionSearch::Option PreemptionSearch::FindOnWorker(
+// Selects few victims, from the first candidates on, so that up to
+// `wanted_members` fit.
+PreemptionSearch::Option PreemptionSearch::SelectOnWorker(
     const WorkerCapacity& worker,
     const WaitingUnit& unit,
-    std::int32_t wanted_members) {
+    std::int32_t wanted_members,
+    const Resources& free,
+    Victims candidates) const {
   Option out;
   out.worker = &worker;
-  const VictimList& list = VictimsOn(worker, RankOf(unit));
-  if (MembersThatFit(unit, worker, worker.free + list.total) == 0) {
-    return out;
-  }
-  Resources free = worker.free;
   out.fitting_members =
       std::min(wanted_members, MembersThatFit(unit, worker, free));
-  std::vector<const Victim*> pending;
+  Resources free_with_pending = free;
   Resources free_with_chosen = free;
-  for (const Victim& victim : list.victims) {
-    if (out.fitting_members >= wanted_members) {
-      break;
-    }
-    free += victim.need;
-    pending.push_back(&victim);
-    const std::int32_t fitting_members =
-        std::min(wanted_members, MembersThatFit(unit, worker, free));
+  std::size_t chosen = 0;
+  for (std::size_t n = 0;
+       n < candidates.size() && out.fitting_members < wanted_members; ++n) {
+    free_with_pending += candidates[n]->need;
+    const std::int32_t fitting_members = std::min(
+        wanted_members, MembersThatFit(unit, worker, free_with_pending));
     if (fitting_members > out.fitting_members) {
       out.fitting_members = fitting_members;
-      free_with_chosen = free;
-      out.victims.insert(out.victims.end(), pending.begin(), pending.end());
-      pending.clear();
+      free_with_chosen = free_with_pending;
+      chosen = n + 1;
     }
   }
-  PruneVictims(unit, worker, free_with_chosen, out.fitting_members,
-               out.victims);
+  candidates.resize(chosen);
+  PruneVictims(unit, worker, free_with_chosen, out.fitting_members, candidates);
+  out.victims = std::move(candidates);
   for (const Victim* victim : out.victims) {
     out.cost += victim->cost;
     out.urgent_victims += victim->is_urgent ? 1 : 0;
@@ -142,7 +232,67 @@
   return out;
 }
 
-std::optional<UnitPlacement> PreemptionSearch::FindOnWorkers(
+PreemptionSearch::Option PreemptionSearch::FindOnWorker(
+    const WorkerCapacity& worker,
+    const WaitingUnit& unit,
+    std::int32_t wanted_members) {
+  const Rank rank = RankOf(unit);
+  const VictimList& list = VictimsOn(worker, rank);
+  Resources free = worker.free + list.ending;
+  if (MembersThatFit(unit, worker, free + list.total) == 0) {
+    Option none;
+    none.worker = &worker;
+    return none;
+  }
+  Victims candidates;
+  candidates.reserve(list.victims.size());
+  for (const Victim& victim : list.victims) {
+    if (IsChosen(victim)) {
+      free += victim.need;
+    } else {
+      candidates.push_back(&victim);
+    }
+  }
+  if (!rank.is_guaranteed &&
+      stops_beyond_guarantees_ >= policy_.max_stops_per_plan) {
+    candidates.clear();
+  }
+  const auto select = [&](std::int32_t wanted) {
+    Option out = SelectOnWorker(worker, unit, wanted, free, candidates);
+    if (out.victims.size() < 2) {
+      return out;
+    }
+    // One large victim may do instead of several small ones.
+    Victims by_size = candidates;
+    std::stable_sort(
+        by_size.begin(), by_size.end(), [](const Victim* a, const Victim* b) {
+          return std::tie(a->is_urgent, b->need.accelerators,
+                          b->need.cpu_milli) < std::tie(b->is_urgent,
+                                                        a->need.accelerators,
+                                                        a->need.cpu_milli);
+        });
+    Option fewer =
+        SelectOnWorker(worker, unit, wanted, free, std::move(by_size));
+    return fewer.fitting_members >= out.fitting_members &&
+                   fewer.Key() < out.Key()
+               ? fewer
+               : out;
+  };
+  Option out = select(wanted_members);
+  while (!rank.is_guaranteed && out.fitting_members > 0 &&
+         std::ssize(out.victims) >
+             out.fitting_members * policy_.max_stops_per_member) {
+    if (out.fitting_members == 1) {
+      out = {};
+      out.worker = &worker;
+      break;
+    }
+    out = select(out.fitting_members - 1);
+  }
+  return out;
+}
+
+std::vector<PreemptionSearch::Option> PreemptionSearch::FindOptions(
     const WorkerList& workers,
     const WaitingUnit& unit) {
   std::vector<Option> options;
@@ -156,59 +306,140 @@
       options.push_back(std::move(option));
     }
   }
-  const auto id = [](const Option& o) -> const WorkerIncarnation& {
-    return o.worker->entry->report.incarnation;
-  };
-  std::sort(options.begin(), options.end(),
-            [&](const Option& a, const Option& b) {
-              const double a_cost = a.cost / a.fitting_members;
-              const double b_cost = b.cost / b.fitting_members;
-              return std::tie(a.urgent_victims, a_cost, id(a)) <
-                     std::tie(b.urgent_victims, b_cost, id(b));
-            });
+  return options;
+}
+
+void PreemptionSearch::UpdateOptions(const WaitingUnit& unit,
+                                     const Victims& chosen,
+                                     std::vector<Option>::iterator begin,
+                                     std::vector<Option>::iterator end) {
+  std::set<WorkerIncarnation> workers;
+  for (const Victim* victim : chosen) {
+    for (const MemberPlace& m : victim->unit->members) {
+      workers.insert(m.incarnation);
+    }
+  }
+  for (auto it = begin; it != end; ++it) {
+    if (workers.contains(Id(*it->worker))) {
+      *it = FindOnWorker(*it->worker, unit, unit.member_count);
+    }
+  }
+}
+
+void PreemptionSearch::DropUnneeded(const WaitingUnit& unit,
+                                    std::vector<Option>& picks) {
+  const Rank rank = RankOf(unit);
+  std::vector<Resources> free;
+  Victims chosen;
+  for (const Option& pick : picks) {
+    const VictimList& list = VictimsOn(*pick.worker, rank);
+    free.push_back(pick.worker->free + list.ending);
+    for (const Victim& victim : list.victims) {
+      if (IsChosen(victim)) {
+        free.back() += victim.need;
+      }
+    }
+    chosen.insert(chosen.end(), pick.victims.begin(), pick.victims.end());
+  }
+  std::sort(chosen.begin(), chosen.end(), [](const auto* a, const auto* b) {
+    return std::tie(b->is_urgent, b->cost, b->first) <
+           std::tie(a->is_urgent, a->cost, a->first);
+  });
+  for (const Victim* victim : chosen) {
+    std::vector<Resources> without = free;
+    bool is_needed = false;
+    for (std::size_t p = 0; p < picks.size(); ++p) {
+      for (const Victim& v : VictimsOn(*picks[p].worker, rank).victims) {
+        if (v.unit == victim->unit) {
+          without[p] -= v.need;
+          is_needed |= MembersThatFit(unit, *picks[p].worker, without[p]) <
+                       picks[p].fitting_members;
+        }
+      }
+    }
+    if (!is_needed) {
+      free = std::move(without);
+      chosen_.erase(victim->unit);
+    }
+  }
+}
+
+UnitPlacement PreemptionSearch::MakePlacement(
+    const WaitingUnit& unit,
+    const std::vector<Option>& picks) const {
   UnitPlacement placement;
   std::int32_t index = unit.first_task.index;
-  for (Option& option : options) {
-    const std::int32_t remaining_members =
-        unit.member_count - static_cast<std::int32_t>(placement.members.size());
-    if (remaining_members == 0) {
-      break;
+  for (const Option& pick : picks) {
+    for (std::int32_t n = 0; n < pick.fitting_members; ++n) {
+      placement.members.push_back(
+          {.index = index++, .incarnation = Id(*pick.worker)});
     }
-    if (option.fitting_members > remaining_members) {
-      option = FindOnWorker(*option.worker, unit, remaining_members);
+    for (const Victim* victim : pick.victims) {
+      if (chosen_.contains(victim->unit)) {
+        placement.victims.push_back(victim->first);
+        placement.cost += victim->lost_work;
+        placement.urgent_victims += victim->is_urgent ? 1 : 0;
+      }
     }
-    for (std::int32_t n = 0;
-         n < std::min(option.fitting_members, remaining_members); ++n) {
-      placement.members.push_back(
-          {.index = index++, .incarnation = id(option)});
+  }
+  return placement;
+}
+
+std::optional<UnitPlacement> PreemptionSearch::FindOnWorkers(
+    const WorkerList& workers,
+    const WaitingUnit& unit) {
+  chosen_.clear();
+  std::vector<Option> options = FindOptions(workers, unit);
+  const auto is_better = [](const Option& a, const Option& b) {
+    const auto a_key = a.Key();
+    const auto b_key = b.Key();
+    return a_key != b_key ? a_key < b_key : Id(*a.worker) < Id(*b.worker);
+  };
+  std::sort(options.begin(), options.end(), is_better);
+  std::vector<Option> picks;
+  std::int32_t remaining_members = unit.member_count;
+  for (auto it = options.begin(); it != options.end() && remaining_members > 0;
+       ++it) {
+    if (it->fitting_members > remaining_members) {
+      *it = FindOnWorker(*it->worker, unit, remaining_members);
+    }
+    if (it->fitting_members == 0) {
+      continue;
+    }
+    remaining_members -= it->fitting_members;
+    bool has_gang = false;
+    for (const Victim* victim : it->victims) {
+      chosen_.insert(victim->unit);
+      has_gang |= victim->unit->members.size() > 1;
     }
-    for (const Victim* victim : option.victims) {
-      placement.victims.push_back(victim->task);
+    if (has_gang && remaining_members > 0) {
+      UpdateOptions(unit, it->victims, std::next(it), options.end());
+      std::sort(std::next(it), options.end(), is_better);
     }
-    placement.cost += option.cost;
-    placement.urgent_victims += option.urgent_victims;
+    picks.push_back(*it);
   }
-  if (static_cast<std::int32_t>(placement.members.size()) < unit.member_count) {
+  if (remaining_members > 0) {
     return std::nullopt;
   }
-  return placement;
+  DropUnneeded(unit, picks);
+  return MakePlacement(unit, picks);
 }
 
-double LostWork(Time now,
-                const Ledger& ledger,
+double LostWork(RunForecast& forecast,
+                const LedgerWorker& worker,
                 const TaskRef& task,
                 const LiveRun& run) {
-  const LedgerJob* job = ledger.FindJob(task.job);
+  const LedgerJob* job = forecast.ledger().FindJob(task.job);
   if (job == nullptr || job->ended()) {
     return 0;
   }
   const JobStep& step = job->request.steps[static_cast<std::size_t>(task.step)];
-  double seconds = ToSeconds(now - run.first_seen_at);
+  Duration lost = forecast.WorkDone(worker, task, run);
   if (step.checkpoints) {
-    seconds = std::min(seconds, kRestartSeconds);
+    lost = std::min(lost, kRestartTime);
   }
   const int members = step.gang ? step.tasks : 1;
-  return seconds * CoreEquivalent(step.need) * members;
+  return ToSeconds(lost) * CoreEquivalent(step.need) * members;
 }
 
 std::optional<UnitPlacement> PreemptionSearch::Find(const WaitingUnit& unit,
@@ -216,16 +447,107 @@
   if (allow_any_rack) {
     return FindOnWorkers(table_.workers(), unit);
   }
+  const auto key = [](const UnitPlacement& p) {
+    return std::tuple(p.urgent_victims, CostClass(p.cost), p.victims.size(),
+                      p.cost);
+  };
   std::optional<UnitPlacement> best;
   for (const auto& [rack, workers] : table_.workers_by_rack()) {
     std::optional<UnitPlacement> placement = FindOnWorkers(workers, unit);
-    if (placement &&
-        (!best || std::tie(placement->urgent_victims, placement->cost) <
-                      std::tie(best->urgent_victims, best->cost))) {
+    if (placement && (!best || key(*placement) < key(*best))) {
       best = std::move(placement);
     }
   }
   return best;
 }
 
+void PreemptionSearch::MarkStopped(const TaskRef& first, bool is_guaranteed) {
+  const LedgerJob* job = forecast_.ledger().FindJob(first.job);
+  if (job == nullptr || job->ended()) {
+    return;
+  }
+  stopped_.insert(&job->occurrences[static_cast<std::size_t>(
+      first.occurrence)][static_cast<std::size_t>(first.step)]
+                       .units[static_cast<std::size_t>(first.index)]);
+  stops_beyond_guarantees_ += is_guaranteed ? 0 : 1;
+}
+
+double PreemptionSearch::LossOf(const UnitPlacement& placement) {
+  double loss = 0;
+  // A job loses its credit once, however many of its units are stopped.
+  std::map<std::pair<std::string, std::int32_t>, double> lost_credit;
+  for (const TaskRef& first : placement.victims) {
+    const LedgerJob& job = *forecast_.ledger().FindJob(first.job);
+    const RunUnit& unit =
+        job.occurrences[static_cast<std::size_t>(first.occurrence)]
+                       [static_cast<std::size_t>(first.step)]
+                           .units[static_cast<std::size_t>(first.index)];
+    double& credit = lost_credit[{first.job, first.occurrence}];
+    credit = std::max(credit, value_.CreditLoss(job, first, unit));
+    for (const MemberPlace& m : unit.members) {
+      TaskRef task = first;
+      task.index = m.index;
+      const LedgerWorker* worker = forecast_.ledger().FindWorker(m.incarnation);
+      const auto run = worker->runs.find(task);
+      if (run != worker->runs.end()) {
+        loss += value_.CreditWeight(job) *
+                LostWork(forecast_, *worker, task, run->second) /
+                static_cast<double>(unit.members.size());
+      }
+    }
+  }
+  for (const auto& [job, credit] : lost_credit) {
+    loss += credit;
+  }
+  return loss;
+}
+
+PreemptionDecision PreemptionSearch::Decide(const WaitingUnit& unit,
+                                            double cost_limit) {
+  PreemptionDecision out;
+  std::optional<UnitPlacement> placement;
+  if (unit.step->gang && unit.step->same_rack) {
+    placement = Find(unit, /*allow_any_rack=*/false);
+  }
+  if (!placement) {
+    placement = Find(unit, /*allow_any_rack=*/true);
+  }
+  if (!placement) {
+    out.verdict = PreemptionVerdict::kNoVictims;
+    return out;
+  }
+  out.placement = std::move(*placement);
+  if (unit.is_guaranteed || out.placement.victims.empty()) {
+    return out;
+  }
+  const auto stops = static_cast<std::int32_t>(out.placement.victims.size());
+  if (unit.outlook == DeadlineOutlook::kNoCredit) {
+    out.verdict = PreemptionVerdict::kNoCredit;
+    return out;
+  }
+  if (stops > policy_.max_stops_per_member * unit.member_count ||
+      stops_beyond_guarantees_ + stops > policy_.max_stops_per_plan) {
+    out.verdict = PreemptionVerdict::kTooManyStops;
+    return out;
+  }
+  if (out.placement.cost > cost_limit) {
+    out.verdict = PreemptionVerdict::kCostLimit;
+    return out;
+  }
+  const Time now = forecast_.now();
+  const Time ready_at = capacity_.ReadyAt(unit);
+  const Time later = ready_at == kNever
+                         ? kNever
+                         : now + Scale(ready_at - now, policy_.wait_margin);
+  out.gain = value_.GainOf(unit, now + policy_.stop_time, later);
+  out.loss = LossOf(out.placement);
+  if (out.gain <= 0) {
+    out.verdict = PreemptionVerdict::kCanWait;
+    capacity_.Claim(unit);
+  } else if (out.gain <= out.loss) {
+    out.verdict = PreemptionVerdict::kLossTooHigh;
+  }
+  return out;
+}
+
 }  // namespace marjoramplank
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -166,6 +166,8 @@
   members @7 : List(Member);
   failedOn @8 : List(Life);
   crashes @9 : List(TaskCrashes);
+  displacements @10 : Int32;
+  migrations @11 : Int32;
 }
 
 struct SuspectRun {
@@ -203,6 +205,7 @@
   percent @7 : Int32;
   stalled @8 : Bool;
   agentProcess @9 : Text;
+  projectedMs @10 : Int64;
 }
 
 struct WorkerState {
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -344,12 +344,16 @@
   return true;
 }
 
-bool Ledger::ApplyRecord(Time, const RunStopped& r) {
+bool Ledger::ApplyRecord(Time /*now*/, const RunStopped& r) {
   RunUnit* unit = FindUnit(r.first);
   if (r.epoch != planner_epoch_ || unit == nullptr || unit->run != r.run ||
       unit->phase != RunUnit::Phase::kRunning) {
     return false;
   }
+  if (!unit->stop_requested) {
+    unit->displacements += r.cause == StopCause::kReclaim ? 1 : 0;
+    unit->migrations += r.cause == StopCause::kMigrated ? 1 : 0;
+  }
   unit->stop_requested = true;
   StopMembers(r.first, *unit);
   return true;
@@ -404,6 +408,11 @@
   }
   run->second.percent = r.percent;
   run->second.stalled = r.stalled;
+  run->second.observed_at = now;
+  if (r.projected_run_time > Duration(0) &&
+      r.projected_run_time <= kMaxDuration) {
+    run->second.projected_run_time = r.projected_run_time;
+  }
   LearnRunTime(now, it->second, r.task, r.run, r.projected_run_time);
   SetBegun(r.task.job);
   RunUnit* unit = FindUnit(r.task);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -28,6 +28,8 @@
   std::int32_t failures = 0;     // Failed runs.
   // Members of the current run that have not ended.
   std::int32_t unfinished_members = 0;
+  std::int32_t displacements = 0;    // Runs stopped to make room.
+  std::int32_t migrations = 0;       // Runs stopped to go on elsewhere.
   std::string checkpoint;            // Newest. Empty: none.
   std::vector<MemberPlace> members;  // Placement of the current run.
   // Workers on which a run has failed.
@@ -82,7 +84,11 @@
   std::string checkpoint;    // That the run starts from. Empty: none.
   std::int32_t percent = 0;  // Latest reported progress.
   bool stalled = false;      // No progress for the stall time.
-  Time first_seen_at{0};     // When this process first read it. Not replicated.
+  // For all of its work, at the speed of its progress. 0: not known.
+  Duration projected_run_time{0};
+  Time first_seen_at{0};  // When this process first read it. Not replicated.
+  // When this process read the latest progress. Not replicated.
+  Time observed_at{0};
 };
 
 // A task that had just been started on a worker when it crashed.
--- a/src/jobs/ledger_record.cc
+++ b/src/jobs/ledger_record.cc
@@ -14,6 +14,8 @@
       return "moved";
     case StopCause::kStalled:
       return "stalled";
+    case StopCause::kMigrated:
+      return "migrated";
   }
   return "unknown";
 }
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -147,6 +147,7 @@
   kReclaim,    // Preempted: a guarantee needs the resources.
   kEvacuated,  // The worker drains, or its data centre is closed.
   kStalled,    // The task makes no progress.
+  kMigrated,   // It ends sooner on faster workers.
 };
 const char* ToString(StopCause cause);
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -97,6 +97,8 @@
   out.setFailures(in.failures);
   out.setUnsettled(in.unfinished_members);
   out.setCheckpoint(in.checkpoint);
+  out.setDisplacements(in.displacements);
+  out.setMigrations(in.migrations);
   auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
   for (unsigned i = 0; i < members.size(); ++i) {
     ToWire(in.members[i], members[i]);
@@ -121,6 +123,8 @@
               .run = in.getRun(),
               .failures = in.getFailures(),
               .unfinished_members = in.getUnsettled(),
+              .displacements = in.getDisplacements(),
+              .migrations = in.getMigrations(),
               .checkpoint = FromWire(in.getCheckpoint()),
               .members = FromWire(in.getMembers())};
   for (const auto incarnation : in.getFailedOn()) {
@@ -208,6 +212,7 @@
   out.setCheckpoint(in.checkpoint);
   out.setPercent(in.percent);
   out.setStalled(in.stalled);
+  out.setProjectedMs(in.projected_run_time.count());
 }
 
 void WriteWorker(const LedgerWorker& in,
@@ -224,6 +229,11 @@
   }
 }
 
+// 0 if the number is out of range.
+Duration PlausibleRunTime(std::int64_t ms) {
+  return ms > 0 && ms <= kMaxDuration.count() ? Duration(ms) : Duration(0);
+}
+
 LedgerWorker ReadWorker(Time now, ledger_wire::WorkerState::Reader in) {
   LedgerWorker out;
   out.report = FromWire(in.getReport());
@@ -245,7 +255,9 @@
                 .checkpoint = FromWire(r.getCheckpoint()),
                 .percent = r.getPercent(),
                 .stalled = r.getStalled(),
-                .first_seen_at = now};
+                .projected_run_time = PlausibleRunTime(r.getProjectedMs()),
+                .first_seen_at = now,
+                .observed_at = now};
     out.used += run.need;
     out.runs.emplace(FromWire(r.getTask()), std::move(run));
   }
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -1,5 +1,6 @@
 #include "src/node/entry_node.h"
 
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -35,6 +36,7 @@
 constexpr Duration kSlowPlan = 50ms;
 // A reservation that lasts is logged this often.
 constexpr Duration kReservationLogInterval = 1s;
+constexpr Duration kDeclineLogInterval = 1s;  // For each unit.
 
 // Longest wait for the resignation and for open appends at shutdown.
 constexpr Duration kShutdownTimeout = 700ms;
@@ -43,6 +45,24 @@
 // other entries have run into their election timeout.
 constexpr Duration kResignationTimeout = 1300ms;
 
+Counter CounterOfStops(StopCause cause) {
+  switch (cause) {
+    case StopCause::kReclaim:
+      return Counter::kStopsPreempted;
+    case StopCause::kEvacuated:
+      return Counter::kStopsEvacuated;
+    case StopCause::kStalled:
+      return Counter::kStopsStalled;
+    case StopCause::kMigrated:
+      return Counter::kStopsMigrated;
+  }
+  return Counter::kStopsPreempted;
+}
+
+std::int64_t ToPercent(double ratio) {
+  return std::llround(ratio * 100);
+}
+
 }  // namespace
 
 EntryNode::EntryNode(Options options, const StoreFactory& open_store)
@@ -280,6 +300,7 @@
       }
       event.With("resumes", !r->checkpoint.empty()).With("position", position);
     } else if (const auto* r = std::get_if<RunStopped>(&record)) {
+      metrics_.Add(CounterOfStops(r->cause));
       LogEvent("decide_stop")
           .With("task", ToString(r->first))
           .With("run", r->run)
@@ -314,7 +335,39 @@
         .With("for", ToString(p.for_unit))
         .With("guaranteed", p.is_guaranteed)
         .With("victim", ToString(p.victim))
-        .With("lost_core_s", static_cast<std::int64_t>(p.lost_core_seconds));
+        .With("lost_core_s", static_cast<std::int64_t>(p.lost_core_seconds))
+        .With("gain", static_cast<std::int64_t>(p.gain))
+        .With("loss", static_cast<std::int64_t>(p.loss));
+  }
+  for (const Migration& m : trace.migrations) {
+    LogEvent("decide_migrate")
+        .With("unit", ToString(m.first))
+        .With("remaining_here_ms", m.remaining_here.count())
+        .With("remaining_there_ms", m.remaining_there.count())
+        .With("slowness_here_percent", ToPercent(m.slowness_here))
+        .With("slowness_there_percent", ToPercent(m.slowness_there))
+        .With("ledger_age_ms", ledger_age.count());
+  }
+}
+
+void EntryNode::LogDeclinedPreemptions(
+    const std::vector<Dispatcher::DeclinedPreemption>& declined,
+    Time now) {
+  std::erase_if(declines_logged_at_, [&](const auto& logged) {
+    return now - logged.second >= kDeclineLogInterval;
+  });
+  for (const Dispatcher::DeclinedPreemption& d : declined) {
+    if (!declines_logged_at_.try_emplace(d.for_unit, now).second) {
+      continue;
+    }
+    metrics_.Add(Counter::kPreemptionsDeclined);
+    LogEvent("preempt_declined")
+        .With("for", ToString(d.for_unit))
+        .With("reason", ToString(d.verdict))
+        .With("stops", d.stops)
+        .With("lost_core_s", static_cast<std::int64_t>(d.lost_core_seconds))
+        .With("gain", static_cast<std::int64_t>(d.gain))
+        .With("loss", static_cast<std::int64_t>(d.loss));
   }
 }
 
@@ -361,6 +414,7 @@
       });
   LogPlan(trace, took, now - planned_on.as_of, planned_on.position);
   LogReservations(trace.reservations, now);
+  LogDeclinedPreemptions(trace.declined_preemptions, now);
   LogDecisions(plan, planned_on.position);
   records.insert(records.end(), plan.begin(), plan.end());
   if (!records.empty()) {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -101,6 +101,9 @@
                Duration ledger_age,
                std::int64_t position);
   void LogReservations(const std::vector<Reservation>& reservations, Time now);
+  void LogDeclinedPreemptions(
+      const std::vector<Dispatcher::DeclinedPreemption>& declined,
+      Time now);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     std::int64_t position);
 
@@ -124,6 +127,8 @@
   std::int64_t snapshot_position_ = 0;
   // When the reservation of each gang was last logged. Older ones are dropped.
   std::map<TaskRef, Time> reservations_logged_at_;
+  // The same of each unit that displaces nobody.
+  std::map<TaskRef, Time> declines_logged_at_;
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> resign_requested_{false};
   std::atomic<bool> has_resigned_{false};
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -46,6 +46,11 @@
     {"tasks_stopped_total", "Tasks stopped on request"},
     {"lease_lapses_total", "Tasks whose lease lapsed"},
     {"worker_crashes_total", "Workers whose process ended unannounced"},
+    {"stops_preempted_total", "Units stopped to make room"},
+    {"stops_evacuated_total", "Units stopped on workers that are vacated"},
+    {"stops_stalled_total", "Units stopped without progress"},
+    {"stops_migrated_total", "Units stopped to go on elsewhere"},
+    {"preemptions_declined_total", "Preemptions that were not worth it"},
 };
 
 constexpr MetricInfo kGauges[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -41,6 +41,12 @@
   kTasksStopped,     // Agent: tasks stopped on request.
   kLeaseLapses,      // Agent: tasks whose lease expired.
   kWorkerCrashes,    // Planner: workers that crashed.
+  // Planner: units stopped, by cause.
+  kStopsPreempted,
+  kStopsEvacuated,
+  kStopsStalled,
+  kStopsMigrated,
+  kPreemptionsDeclined,  // Planner: at most one a second for each unit.
   kCount,
 };
 
