--- a/src/dispatch/migration.cc
+++ b/src/dispatch/migration.cc
@@ -18,12 +18,17 @@
       .units[static_cast<std::size_t>(first.index)];
 }
 
-// The part of the members' needs that the worker carries for the unit now.
-Resources UsedBy(const WaitingUnit& unit, const WorkerIncarnation& worker) {
+// What the unit's runs use on the worker.
+Resources UsedBy(const WaitingUnit& unit, const LedgerWorker& worker) {
   Resources out;
   for (const MemberPlace& m : unit.unit->members) {
-    if (m.incarnation == worker) {
-      out += unit.member_need;
+    TaskRef task = unit.first_task;
+    task.index = m.index;
+    const auto run = m.incarnation == worker.report.incarnation
+                         ? worker.runs.find(task)
+                         : worker.runs.end();
+    if (run != worker.runs.end()) {
+      out += run->second.need;
     }
   }
   return out;
@@ -87,13 +92,17 @@
   return out;
 }
 
+void MigrationPlanner::ReserveNext() {
+  const WaitingUnit& unit = migrating_[reserved_++];
+  if (const auto placement = FindFaster(unit)) {
+    Reserve(unit, *placement);
+  }
+}
+
 void MigrationPlanner::ReserveBefore(const WaitingUnit& next) {
   while (reserved_ < migrating_.size() && !next.is_guaranteed &&
          RankOf(migrating_[reserved_]) < RankOf(next)) {
-    const WaitingUnit& unit = migrating_[reserved_++];
-    if (const auto placement = FindFaster(unit)) {
-      Reserve(unit, *placement);
-    }
+    ReserveNext();
   }
 }
 
@@ -198,7 +207,7 @@
       continue;
     }
     const std::int32_t members =
-        MembersThatFit(unit, *worker, worker->free + UsedBy(unit, Id(*worker)));
+        MembersThatFit(unit, *worker, worker->free + UsedBy(unit, entry));
     if (members > 0) {
       rooms.push_back({forecast_.Slowness(entry), worker, members});
     }
@@ -327,6 +336,9 @@
     const std::vector<const WaitingUnit*>& unplaced,
     const std::set<TaskRef>& stopped_units) {
   std::vector<Migration> out;
+  while (reserved_ < migrating_.size()) {
+    ReserveNext();
+  }
   if (!HasFreeFastWorker()) {
     return out;
   }
--- a/src/dispatch/migration.h
+++ b/src/dispatch/migration.h
@@ -99,6 +99,8 @@
   bool IsWanted(const Candidate& candidate,
                 const std::vector<const WaitingUnit*>& unplaced);
   void Reserve(const WaitingUnit& unit, const UnitPlacement& placement);
+  // Reserves capacity for the first of `migrating_` that has none.
+  void ReserveNext();
   bool HasFreeFastWorker();
   std::vector<Candidate> FindCandidates(const std::set<TaskRef>& stopped_units);
   double SlownessOf(const WorkerIncarnation& incarnation);
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -58,10 +58,12 @@
   std::int32_t urgent_victims = 0;
   double cost = 0;
 
+  int cost_class = 0;  // Of the cost of a member.
+
   // Better options for a member come first.
   auto Key() const {
     const double members = std::max(fitting_members, 1);
-    return std::tuple(urgent_victims, CostClass(cost / members),
+    return std::tuple(urgent_victims, cost_class,
                       static_cast<double>(victims.size()) / members,
                       cost / members);
   }
@@ -165,6 +167,9 @@
               return std::tie(a.is_urgent, a.cost, a.first) <
                      std::tie(b.is_urgent, b.cost, b.first);
             });
+  out.has_one_size = std::all_of(
+      out.victims.begin(), out.victims.end(),
+      [&](const Victim& v) { return v.need == out.victims[0].need; });
   return out;
 }
 
@@ -229,6 +234,7 @@
     out.cost += victim->cost;
     out.urgent_victims += victim->is_urgent ? 1 : 0;
   }
+  out.cost_class = CostClass(out.cost / std::max(out.fitting_members, 1));
   return out;
 }
 
@@ -259,7 +265,7 @@
   }
   const auto select = [&](std::int32_t wanted) {
     Option out = SelectOnWorker(worker, unit, wanted, free, candidates);
-    if (out.victims.size() < 2) {
+    if (out.victims.size() < 2 || list.has_one_size) {
       return out;
     }
     // One large victim may do instead of several small ones.
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -86,6 +86,7 @@
     std::vector<Victim> victims;
     Resources total;   // Of all victims.
     Resources ending;  // Of runs that stop, or that end as soon as a stop.
+    bool has_one_size = true;  // All victims use the same resources.
   };
   struct Option;
   using WorkerList = std::vector<const WorkerCapacity*>;
--- a/src/dispatch/run_forecast.cc
+++ b/src/dispatch/run_forecast.cc
@@ -90,9 +90,7 @@
                                 const TaskRef& task,
                                 const LiveRun& run) {
   const Duration expected = ExpectedRemaining(worker, task, run);
-  const Time since = run.projected_run_time > Duration(0) ? run.observed_at
-                                                          : run.first_seen_at;
-  return std::max(expected, Scale(now_ - since, options_.overdue_fraction));
+  return expected < Duration(0) ? -expected : expected;
 }
 
 Duration RunForecast::RemainingOfUnit(const TaskRef& first,
--- a/src/dispatch/run_forecast.h
+++ b/src/dispatch/run_forecast.h
@@ -24,9 +24,6 @@
   struct Options {
     // Estimated run time of a step that has no declared or learned one.
     Duration default_estimate{5000};
-    // A run over its estimate is expected to last this fraction of its age
-    // more.
-    double overdue_fraction = 0.25;
   };
 
   // The ledger must outlive the forecast and must not change.
@@ -44,7 +41,8 @@
   // Runs that compared the worker's machine with others.
   std::size_t SampleCount(const LedgerWorker& worker) const;
 
-  // Expected time to the end of the run, by its progress if that is known.
+  // Expected time to the end of the run, by its progress if that is known. A
+  // run over its estimate is expected to last as long again as it is over it.
   // kNever: it lasts, or its job is unknown.
   Duration Remaining(const LedgerWorker& worker,
                      const TaskRef& task,
