Dispatch: only learned or projected ends are waited for

Declared times are off by up to 90%, so urgent work could wait up to twice the time of a stop for a run that does not end. Gangs that are refused too many stops get a reservation: members that need a whole worker would starve among single tasks.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -427,7 +427,9 @@
       continue;
     }
     unplaceable_steps.insert(step);
-    if (!may_preempt || verdict == PreemptionVerdict::kCanWait) {
+    // Work that displaces nobody for its cost would starve among smaller tasks.
+    if (!may_preempt ||
+        (!unit.is_guaranteed && verdict != PreemptionVerdict::kNoVictims)) {
       ReserveForGang(in, table, unit, reservations);
     }
   }
--- a/src/dispatch/expected_capacity.cc
+++ b/src/dispatch/expected_capacity.cc
@@ -16,7 +16,8 @@
     Duration remaining = stop_time_;
     if (!run.must_stop) {
       const LedgerJob* job = forecast_.ledger().FindJob(task.job);
-      remaining = job == nullptr
+      remaining = job == nullptr || job->ended() ||
+                          !forecast_.IsReliable(*job, task, run)
                       ? Duration(kNever)
                       : forecast_.Remaining(*job, *worker.entry, task, run);
     }
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -143,7 +143,8 @@
         unit.members.size() > 1
             ? forecast_.RemainingOfUnit(*job, FirstTaskOfUnit(*job, task), unit)
             : forecast_.Remaining(*job, entry, task, run);
-    if (victim.remaining <= policy_.stop_time) {
+    if (victim.remaining <= policy_.stop_time &&
+        forecast_.IsReliable(*job, task, run)) {
       out.total -= run.need;
       out.ending += run.need;
       return;
@@ -263,6 +264,7 @@
   }
   if (!rank.is_guaranteed &&
       stops_beyond_guarantees_ >= policy_.max_stops_per_plan) {
+    has_hit_stop_limit_ |= !candidates.empty();
     candidates.clear();
   }
   const auto select = [&](std::int32_t wanted) {
@@ -290,6 +292,7 @@
   while (!rank.is_guaranteed && out.fitting_members > 0 &&
          std::ssize(out.victims) >
              out.fitting_members * policy_.max_stops_per_member) {
+    has_hit_stop_limit_ = true;
     if (out.fitting_members == 1) {
       out = {};
       out.worker = &worker;
@@ -539,6 +542,7 @@
 PreemptionDecision PreemptionSearch::Search(const WaitingUnit& unit,
                                             double cost_limit) {
   PreemptionDecision out;
+  has_hit_stop_limit_ = false;
   std::optional<UnitPlacement> placement;
   if (unit.step->gang && unit.step->same_rack) {
     placement = Find(unit, /*allow_any_rack=*/false);
@@ -547,7 +551,8 @@
     placement = Find(unit, /*allow_any_rack=*/true);
   }
   if (!placement) {
-    out.verdict = PreemptionVerdict::kNoVictims;
+    out.verdict = has_hit_stop_limit_ ? PreemptionVerdict::kTooManyStops
+                                      : PreemptionVerdict::kNoVictims;
     return out;
   }
   out.placement = std::move(*placement);
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -176,6 +176,8 @@
   UnitSet stopped_;  // By this plan.
   UnitSet chosen_;   // For the unit that is searched for.
   std::int32_t stops_beyond_guarantees_ = 0;
+  // A limit of stops has ruled out victims of the current search.
+  bool has_hit_stop_limit_ = false;
 };
 
 // Work lost if the run is stopped now, core-seconds of a machine of usual
--- a/src/dispatch/run_forecast.cc
+++ b/src/dispatch/run_forecast.cc
@@ -24,6 +24,7 @@
     const Duration run_time =
         ledger_.run_times().Expected(job.request, s, options_.default_estimate);
     out.run_times.push_back(run_time);
+    out.is_learned.push_back(ledger_.run_times().IsLearned(job.request, s));
     if (!steps[s].long_running) {
       out.core_seconds +=
           ToSeconds(run_time) * steps[s].tasks * CoreEquivalent(steps[s].need);
@@ -91,6 +92,13 @@
   return expected < Duration(0) ? -expected : expected;
 }
 
+bool RunForecast::IsReliable(const LedgerJob& job,
+                             const TaskRef& task,
+                             const LiveRun& run) {
+  return run.projected_run_time > Duration(0) ||
+         Of(job).is_learned[static_cast<std::size_t>(task.step)];
+}
+
 Duration RunForecast::RemainingOfUnit(const LedgerJob& job,
                                       const TaskRef& first,
                                       const RunUnit& unit) {
--- a/src/dispatch/run_forecast.h
+++ b/src/dispatch/run_forecast.h
@@ -11,6 +11,7 @@
 // Expected times of a job's steps on a machine of usual speed, and its goal.
 struct JobForecast {
   std::vector<Duration> run_times;  // Of a task of each step.
+  std::vector<bool> is_learned;     // Or only declared.
   // From the start of each step to the end of the job.
   std::vector<Duration> path_times;
   Duration objective{0};    // From its due time to its deadline.
@@ -57,6 +58,11 @@
   Duration RemainingOfUnit(const LedgerJob& job,
                            const TaskRef& first,
                            const RunUnit& unit);
+  // True if the run's end can be counted on: its progress is known, or runs
+  // like it have been seen. Declared times are off by up to 90%.
+  bool IsReliable(const LedgerJob& job,
+                  const TaskRef& task,
+                  const LiveRun& run);
   // Time that a machine of usual speed would need for what the run has done
   // since its start.
   Duration WorkDone(const LedgerJob& job,
--- a/tests/property/preemption_property_test.cc
+++ b/tests/property/preemption_property_test.cc
@@ -233,6 +233,7 @@
         const TaskRef first = FirstTaskOfUnit(*ledger.FindJob(task.job), task);
         const bool ends_soon =
             !unit.is_guaranteed && !victims.contains(first) &&
+            forecast.IsReliable(*ledger.FindJob(task.job), task, run) &&
             forecast.RemainingOfUnit(
                 *ledger.FindJob(task.job), first,
                 ledger.FindJob(task.job)
--- a/tests/unit/preemption_value_test.cc
+++ b/tests/unit/preemption_value_test.cc
@@ -60,6 +60,11 @@
   }
 }
 
+// Other jobs have taken the time that batch jobs declare.
+void TeachBatchTime(DispatchCluster& cluster) {
+  cluster.Teach(std::vector<double>(kWorkers, 1), kBatchTime, 4, "q2");
+}
+
 void FillAllWithBatch(DispatchCluster& cluster) {
   for (int n = 0; n < kWorkers; ++n) {
     FillWithBatch(cluster, n);
@@ -72,6 +77,7 @@
 
   // Guards against runs that are stopped right before they end.
   SECTION("runs that end within the time of a stop are waited for") {
+    TeachBatchTime(cluster);
     FillAllWithBatch(cluster);
     cluster.Advance(7500ms);
     cluster.Submit(DispatchCluster::Job("urgent", 0, UrgentGang(5, 1)));
@@ -103,6 +109,7 @@
   // Guards against runs that are nearly done being stopped for one that would
   // meet its objective without it.
   SECTION("a gang that meets its objective with what ends soon waits") {
+    TeachBatchTime(cluster);
     FillAllWithBatch(cluster);
     cluster.Advance(7s);
     // Its objective of 3,300 ms leaves 1,300 ms for a wait.
@@ -117,6 +124,15 @@
     }
   }
 
+  // Guards against urgent work that waits for runs whose declared times are
+  // wrong.
+  SECTION("declared times alone are not counted on") {
+    FillAllWithBatch(cluster);
+    cluster.Advance(7500ms);
+    cluster.Submit(DispatchCluster::Job("urgent", 0, UrgentGang(5, 1)));
+    CHECK(cluster.MakePlan().stops.size() == 5);
+  }
+
   SECTION("young runs are displaced, not old ones") {
     for (int n = 0; n < kWorkers - 1; ++n) {
       FillWithBatch(cluster, n);
@@ -200,7 +216,13 @@
     FillAllWithBatch(cluster);
     cluster.Advance(1s);
     cluster.Submit(DispatchCluster::Job("urgent", 0, UrgentGang(5, 8)));
-    CHECK(cluster.MakePlan().stops.empty());
+    const auto limited = cluster.MakePlan();
+    CHECK(limited.stops.empty());
+    CHECK(Verdicts(limited) == std::vector{PreemptionVerdict::kTooManyStops});
+    SECTION("so that a place is kept for them") {
+      REQUIRE(limited.trace.reservations.size() == 1);
+      CHECK(limited.trace.reservations[0].gang.job == "urgent");
+    }
     SECTION("which does not keep guaranteed work from its capacity") {
       cluster.Submit(
           DispatchCluster::Guaranteed("guaranteed", UrgentGang(5, 8)));
