--- a/src/dispatch/expected_capacity.cc
+++ b/src/dispatch/expected_capacity.cc
@@ -45,9 +45,6 @@
                 {.ready_at = forecast_.now(), .worker = &worker});
   for (const Release& release : ReleasesOf(worker)) {
     free += release.need;
-    if (!unit.member_need.FitsIn(free)) {
-      continue;
-    }
     const std::int32_t fitting_then = MembersThatFit(unit, worker, free);
     for (; fitting_members < fitting_then; ++fitting_members) {
       slots_.push_back({.ready_at = release.at, .worker = &worker});
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -24,6 +24,17 @@
                                           std::log(kSimilarCostFactor));
 }
 
+// True if `count` members fit by their resources. What a member does not need
+// may be short.
+bool Fits(const Resources& need, std::int32_t count, const Resources& free) {
+  const auto fits = [count](std::int64_t needed, std::int64_t available) {
+    return needed <= 0 || needed * count <= available;
+  };
+  return fits(need.cpu_milli, free.cpu_milli) &&
+         fits(need.memory_mb, free.memory_mb) &&
+         fits(need.accelerators, free.accelerators);
+}
+
 const WorkerIncarnation& Id(const WorkerCapacity& worker) {
   return worker.entry->report.incarnation;
 }
@@ -189,15 +200,12 @@
 // Drops every victim that the members do not need, most expensive first. `free`
 // is the worker's free capacity with all victims gone.
 void PreemptionSearch::PruneVictims(const WaitingUnit& unit,
-                                    const WorkerCapacity& worker,
                                     Resources free,
                                     std::int32_t fitting_members,
                                     Victims& victims) {
   for (std::size_t n = victims.size(); n > 0; --n) {
     const Resources free_without_victim = free - victims[n - 1]->need;
-    if (std::min(unit.member_count,
-                 MembersThatFit(unit, worker, free_without_victim)) >=
-        fitting_members) {
+    if (Fits(unit.member_need, fitting_members, free_without_victim)) {
       free = free_without_victim;
       victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(n - 1));
     }
@@ -211,27 +219,26 @@
     const WaitingUnit& unit,
     std::int32_t wanted_members,
     const Resources& free,
-    Victims candidates) const {
+    Victims candidates) {
   Option out;
   out.worker = &worker;
-  out.fitting_members =
-      std::min(wanted_members, MembersThatFit(unit, worker, free));
   Resources free_with_pending = free;
   Resources free_with_chosen = free;
   std::size_t chosen = 0;
-  for (std::size_t n = 0;
-       n < candidates.size() && out.fitting_members < wanted_members; ++n) {
-    free_with_pending += candidates[n]->need;
-    const std::int32_t fitting_members = std::min(
-        wanted_members, MembersThatFit(unit, worker, free_with_pending));
-    if (fitting_members > out.fitting_members) {
-      out.fitting_members = fitting_members;
+  for (std::size_t n = 0;; ++n) {
+    while (out.fitting_members < wanted_members &&
+           Fits(unit.member_need, out.fitting_members + 1, free_with_pending)) {
+      ++out.fitting_members;
       free_with_chosen = free_with_pending;
-      chosen = n + 1;
+      chosen = n;
     }
+    if (n == candidates.size() || out.fitting_members == wanted_members) {
+      break;
+    }
+    free_with_pending += candidates[n]->need;
   }
   candidates.resize(chosen);
-  PruneVictims(unit, worker, free_with_chosen, out.fitting_members, candidates);
+  PruneVictims(unit, free_with_chosen, out.fitting_members, candidates);
   out.victims = std::move(candidates);
   for (const Victim* victim : out.victims) {
     out.cost += victim->cost;
@@ -248,7 +255,9 @@
   const Rank rank = RankOf(unit);
   const VictimList& list = VictimsOn(worker, rank);
   Resources free = worker.free + list.ending;
-  if (MembersThatFit(unit, worker, free + list.total) == 0) {
+  wanted_members =
+      std::min(wanted_members, MembersThatFit(unit, worker, free + list.total));
+  if (wanted_members == 0) {
     Option none;
     none.worker = &worker;
     return none;
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -136,11 +136,12 @@
   Option FindOnWorker(const WorkerCapacity& worker,
                       const WaitingUnit& unit,
                       std::int32_t wanted_members);
-  Option SelectOnWorker(const WorkerCapacity& worker,
-                        const WaitingUnit& unit,
-                        std::int32_t wanted_members,
-                        const Resources& free,
-                        Victims candidates) const;
+  // `wanted_members`: not more than the unit may have on the worker.
+  static Option SelectOnWorker(const WorkerCapacity& worker,
+                               const WaitingUnit& unit,
+                               std::int32_t wanted_members,
+                               const Resources& free,
+                               Victims candidates);
   std::vector<Option> FindOptions(const WorkerList& workers,
                                   const WaitingUnit& unit);
   // Searches the workers of the units that were chosen on another one again.
@@ -156,7 +157,6 @@
   UnitPlacement MakePlacement(const WaitingUnit& unit,
                               const std::vector<Option>& picks) const;
   static void PruneVictims(const WaitingUnit& unit,
-                           const WorkerCapacity& worker,
                            Resources free,
                            std::int32_t fitting_members,
                            Victims& victims);
--- a/src/dispatch/preemption_value.cc
+++ b/src/dispatch/preemption_value.cc
@@ -5,10 +5,10 @@
 namespace marjoramplank {
 
 double PreemptionValue::CreditWeight(const LedgerJob& job) const {
-  const std::vector<double>& weights = policy_.credit_weights;
+  const auto& weights = policy_.credit_weights;
   const auto priority = static_cast<std::size_t>(
       std::max(job.request.terms.priority, std::int32_t{0}));
-  return weights.empty() ? 1 : weights[std::min(priority, weights.size() - 1)];
+  return weights.at(std::min(priority, weights.size() - 1));
 }
 
 void PreemptionValue::MeasureQueues() {
--- a/src/dispatch/preemption_value.h
+++ b/src/dispatch/preemption_value.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 #include "src/dispatch/run_forecast.h"
 #include "src/dispatch/waiting_unit.h"
@@ -22,7 +22,7 @@
 struct PreemptionPolicy {
   // By priority, the highest first; lower ones have the last weight. Urgent
   // jobs are small and worth more than batch jobs that use ten times as much.
-  std::vector<double> credit_weights{4, 3, 1};
+  std::array<double, 3> credit_weights{4, 3, 1};
   // Credit of a late end, relative to one by the deadline.
   double late_credit_fraction = 0.5;
   // From a stop's decision until its capacity can be used: the longest grace
--- a/tests/unit/migration_test.cc
+++ b/tests/unit/migration_test.cc
@@ -206,6 +206,21 @@
       cluster.Advance(200ms);
       CHECK(Migrated(cluster.MakePlan()).size() == 1);
     }
+    SECTION("if it has been moved before") {
+      JobRequest job = SavingRender("render");
+      job.terms.stretch = 2.2;
+      REQUIRE(cluster.SubmitAndStart(job, kFirstSlow));
+      cluster.Advance(3s);
+      REQUIRE(Migrated(DispatchCluster(cluster).MakePlan()).size() == 1);
+      cluster.Apply(RunStopped{.epoch = 1,
+                               .first = {.job = "render"},
+                               .run = 1,
+                               .cause = StopCause::kMigrated});
+      cluster.EndStoppedRuns();
+      REQUIRE(cluster.Start({.job = "render"}, {kFirstSlow + 1}));
+      cluster.Advance(3500ms);
+      CHECK(Migrated(cluster.MakePlan()).empty());
+    }
     SECTION("if it lasts") {
       JobRequest job = SavingRender("serves");
       job.steps[0].long_running = true;
@@ -346,6 +361,29 @@
     CHECK(cluster.Unit({.job = "render"}).migrations == 0);
     CHECK(cluster.Unit({.job = "render"}).displacements == 0);
   }
+  SECTION("the next planner knows the projected time of a run") {
+    const auto projected = [&] {
+      return cluster.ledger()
+          .FindWorker(DispatchCluster::Incarnation(0))
+          ->runs.at({.job = "render"})
+          .projected_run_time;
+    };
+    RunObserved seen{.incarnation = DispatchCluster::Incarnation(0),
+                     .task = {.job = "render"},
+                     .run = 1,
+                     .percent = 20,
+                     .projected_run_time = 9s};
+    cluster.Apply(seen);
+    CHECK(projected() == 9s);
+    // One without it, and one that is implausible, change nothing.
+    for (const Duration wrong : {Duration(0), Duration(-1), kMaxDuration * 2}) {
+      seen.projected_run_time = wrong;
+      cluster.Apply(seen);
+      CHECK(projected() == 9s);
+    }
+    REQUIRE(cluster.ReplacePlanner());
+    CHECK(projected() == 9s);
+  }
   SECTION("a repeated stop counts once") {
     const RunStopped stop{.epoch = 1,
                           .first = {.job = "render"},
--- a/tests/unit/preemption_value_test.cc
+++ b/tests/unit/preemption_value_test.cc
@@ -231,7 +231,7 @@
       cluster.Advance(900ms);
       cluster.EndStoppedRuns();
       const auto next = cluster.MakePlan();
-      REQUIRE(next.starts.size() >= 1);
+      REQUIRE_FALSE(next.starts.empty());
       CHECK(next.starts[0].first.job == "guaranteed");
     }
   }
@@ -248,6 +248,17 @@
     CHECK(plan.all_applied);
   }
 
+  SECTION("a gang that would exceed the limit of a plan waits as a whole") {
+    FillAllWithBatch(cluster);
+    cluster.Advance(1s);
+    for (int n = 0; n < 12; ++n) {
+      cluster.Submit(DispatchCluster::Job("urgent" + std::to_string(n), 0,
+                                          UrgentGang(4, 1)));
+    }
+    CHECK(cluster.MakePlan().stops.size() == 28);
+    CHECK(cluster.MakePlan().stops.size() == 20);
+  }
+
   SECTION("displaced units are spared") {
     DispatchCluster one(1);
     one.SubmitAndStart(
@@ -329,7 +340,7 @@
     CHECK(plan.stops.size() == 8);  // One more worker.
     cluster.EndStoppedRuns();
     const auto next = cluster.MakePlan();
-    REQUIRE(next.starts.size() >= 1);
+    REQUIRE_FALSE(next.starts.empty());
     CHECK(next.starts[0].first.job == "guaranteed");
   }
   SECTION("the planner is replaced before they have stopped") {
@@ -340,7 +351,7 @@
     CHECK(cluster.MakePlan().stops.empty());
     cluster.EndStoppedRuns();
     const auto next = cluster.MakePlan();
-    REQUIRE(next.starts.size() >= 1);
+    REQUIRE_FALSE(next.starts.empty());
     CHECK(next.starts[0].first.job == "guaranteed");
   }
 }
