--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -96,7 +96,15 @@
             std::vector<LedgerRecord>& records)
       : in(input),
         table(capacity),
-        search(in.now, in.ledger, table, guaranteed_jobs),
+        forecast({.default_estimate = dispatcher.options_.default_estimate},
+                 in.now,
+                 in.unix_ms,
+                 in.ledger),
+        search(dispatcher.options_.preemption,
+               forecast,
+               table,
+               guaranteed_jobs),
+        migrations(dispatcher.options_.migration, forecast, table),
         reservations(dispatcher.options_.reservations,
                      in.now,
                      in.ledger,
@@ -111,12 +119,15 @@
 
   const Input& in;
   CapacityTable& table;
+  RunForecast forecast;
   PreemptionSearch search;
+  MigrationPlanner migrations;
   ReservationPlanner reservations;
   IdleJobs idle_jobs;
   FastWait fast_wait;
-  bool keep_whole_workers = false;  // For larger tasks that wait.
-  std::set<TaskRef> stopped_units;  // First tasks of those that it stops.
+  bool keep_whole_workers = false;    // For larger tasks that wait.
+  std::set<TaskRef> stopped_units;    // First tasks of those that it stops.
+  std::vector<WaitingUnit> unplaced;  // One of each step.
   std::vector<LedgerRecord>& out;
 };
 
@@ -298,8 +309,9 @@
   }
 }
 
-void Dispatcher::StopStalledRuns(const Input& in,
-                                 std::vector<LedgerRecord>& out) const {
+std::set<TaskRef> Dispatcher::StopStalledRuns(
+    const Input& in,
+    std::vector<LedgerRecord>& out) const {
   std::set<TaskRef> stopped_units;
   for (const auto& [incarnation, worker] : in.ledger.workers()) {
     for (const auto& [task, run] : worker.runs) {
@@ -316,6 +328,7 @@
       }
     }
   }
+  return stopped_units;
 }
 
 Time Dispatcher::ExpectedEnd(Time now,
@@ -415,43 +428,47 @@
          unit.member_count * ToSeconds(unit.run_time) * (slow_factor - 1);
 }
 
-std::optional<UnitPlacement> Dispatcher::FindVictims(
-    PlanState& state,
-    const WaitingUnit& unit) const {
-  std::optional<UnitPlacement> on_fast;
-  if (state.table.HasSlowWorkers()) {
-    on_fast = FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0);
-    const double least_slowness =
-        state.table.speed_classes().upper_bound(0)->second;
-    if (on_fast && on_fast->urgent_victims == 0 &&
-        on_fast->cost <= GainOnFast(unit, least_slowness)) {
-      return on_fast;
-    }
-  }
-  std::optional<UnitPlacement> anywhere =
-      FindVictimsUpTo(state.search, unit, kAnySpeedClass);
-  if (!on_fast || !anywhere) {
+PreemptionDecision Dispatcher::FindVictims(PlanState& state,
+                                           const WaitingUnit& unit) const {
+  PreemptionDecision anywhere =
+      state.search.Decide(unit, options_.preemption_limit_core_seconds);
+  if (anywhere.verdict != PreemptionVerdict::kAccepted ||
+      !state.table.HasSlowWorkers()) {
     return anywhere;
   }
-  const double gain = GainOnFast(unit, SlownessOf(state.table, *anywhere));
-  return on_fast->urgent_victims <= anywhere->urgent_victims &&
-                 on_fast->cost <= anywhere->cost + gain
-             ? on_fast
-             : anywhere;
+  const double gain =
+      GainOnFast(unit, SlownessOf(state.table, anywhere.placement));
+  std::optional<UnitPlacement> on_fast =
+      gain > 0 ? FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0)
+               : std::nullopt;
+  if (on_fast && on_fast->urgent_victims <= anywhere.placement.urgent_victims &&
+      on_fast->cost <= anywhere.placement.cost + gain) {
+    anywhere.placement = std::move(*on_fast);
+  }
+  return anywhere;
 }
 
-bool Dispatcher::Preempt(PlanState& state, const WaitingUnit& unit) const {
-  const std::optional<UnitPlacement> placement = FindVictims(state, unit);
-  if (!placement ||
-      (!unit.is_guaranteed &&
-       placement->cost > options_.preemption_limit_core_seconds)) {
-    return false;
+PreemptionVerdict Dispatcher::Preempt(PlanState& state,
+                                      const WaitingUnit& unit) const {
+  const PreemptionDecision decision = FindVictims(state, unit);
+  if (decision.verdict != PreemptionVerdict::kAccepted) {
+    if (state.in.trace != nullptr &&
+        decision.verdict != PreemptionVerdict::kNoVictims) {
+      state.in.trace->declined_preemptions.push_back(
+          {.for_unit = unit.first_task,
+           .verdict = decision.verdict,
+           .stops = decision.placement.victims.size(),
+           .lost_core_seconds = decision.placement.cost,
+           .gain = decision.gain,
+           .loss = decision.loss});
+    }
+    return decision.verdict;
   }
-  StopVictims(state, unit, *placement);
+  StopVictims(state, unit, decision);
   // Includes what is free already, so that units later in the order cannot use
   // it.
-  ReservePlacement(unit, *placement, state.table);
-  return true;
+  ReservePlacement(unit, decision.placement, state.table);
+  return PreemptionVerdict::kAccepted;
 }
 
 bool Dispatcher::PreemptOnFast(PlanState& state,
@@ -476,33 +493,32 @@
        !state.fast_wait.MayAwaitStops(unit, /*is_new=*/true))) {
     return false;
   }
-  StopVictims(state, unit, *placement);
+  StopVictims(state, unit, {.placement = *placement, .gain = gain});
   ReservePlacement(unit, *placement, state.table);
   return true;
 }
 
 void Dispatcher::StopVictims(PlanState& state,
                              const WaitingUnit& unit,
-                             const UnitPlacement& placement) {
-  for (const TaskRef& task : placement.victims) {
-    const LedgerJob* job = state.in.ledger.FindJob(task.job);
-    if (job == nullptr || job->ended()) {
-      continue;  // The job has ended, so its tasks stop already.
-    }
-    const TaskRef first = FirstTaskOfUnit(*job, task);
+                             const PreemptionDecision& decision) {
+  for (const TaskRef& first : decision.placement.victims) {
+    const LedgerJob& job = state.in.ledger.jobs().at(first.job);
     const RunUnit& victim =
-        job->occurrences[static_cast<std::size_t>(first.occurrence)]
-                        [static_cast<std::size_t>(first.step)]
-                            .units[static_cast<std::size_t>(first.index)];
+        job.occurrences[static_cast<std::size_t>(first.occurrence)]
+                       [static_cast<std::size_t>(first.step)]
+                           .units[static_cast<std::size_t>(first.index)];
     if (victim.stop_requested || !state.stopped_units.insert(first).second) {
       continue;
     }
+    state.search.MarkStopped(first, unit.is_guaranteed);
     if (state.in.trace != nullptr) {
       state.in.trace->preemptions.push_back(
           {.for_unit = unit.first_task,
            .is_guaranteed = unit.is_guaranteed,
            .victim = first,
-           .lost_core_seconds = placement.cost});
+           .lost_core_seconds = decision.placement.cost,
+           .gain = decision.gain,
+           .loss = decision.loss});
     }
     state.out.emplace_back(RunStopped{.epoch = state.in.epoch,
                                       .first = first,
@@ -511,6 +527,24 @@
   }
 }
 
+void Dispatcher::StopMigrating(PlanState& state) {
+  std::vector<const WaitingUnit*> unplaced;
+  for (const WaitingUnit& unit : state.unplaced) {
+    unplaced.push_back(&unit);
+  }
+  const std::vector<Migration> migrations =
+      state.migrations.Choose(unplaced, state.stopped_units);
+  for (const Migration& m : migrations) {
+    state.out.emplace_back(RunStopped{.epoch = state.in.epoch,
+                                      .first = m.first,
+                                      .run = m.run,
+                                      .cause = StopCause::kMigrated});
+  }
+  if (state.in.trace != nullptr) {
+    state.in.trace->migrations = migrations;
+  }
+}
+
 void Dispatcher::ReservePlacement(const WaitingUnit& unit,
                                   const UnitPlacement& placement,
                                   CapacityTable& table) {
@@ -529,13 +563,17 @@
   if (!out.empty()) {
     return out;  // The next plan uses the capacity that this frees.
   }
-  StopStalledRuns(in, out);
+  const std::set<TaskRef> stalled_units = StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   StepTimeCache step_times(in.ledger.run_times(), options_.default_estimate);
   const std::vector<WaitingStep> waiting_steps =
       SortedWaitingSteps(in, step_times, guaranteed_jobs);
   PlanState state(*this, in, guaranteed_jobs, step_times, table, out);
+  for (const TaskRef& first : stalled_units) {
+    state.search.MarkStopped(first, /*is_guaranteed=*/true);
+    state.stopped_units.insert(first);
+  }
   const std::int64_t whole_worker = MostAccelerators(table);
   state.keep_whole_workers = std::any_of(
       waiting_steps.begin(), waiting_steps.end(), [&](const WaitingStep& s) {
@@ -544,6 +582,7 @@
   for (const WaitingStep& step : waiting_steps) {
     PlanStep(state, step);
   }
+  StopMigrating(state);
   if (in.trace != nullptr) {
     in.trace->usable_workers = table.workers().size();
     for (const WaitingStep& step : waiting_steps) {
@@ -571,14 +610,21 @@
     unit.first_task.index = static_cast<std::int32_t>(n);
     unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
     if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
-        state.fast_wait.TakeWaitOfStep(unit) || PlanUnit(state, unit)) {
+        state.fast_wait.TakeWaitOfStep(unit)) {
+      continue;
+    }
+    const PreemptionVerdict verdict = PlanUnit(state, unit);
+    if (verdict == PreemptionVerdict::kAccepted) {
       continue;
     }
+    state.unplaced.push_back(unit);
     if (unit.needs_trial) {
       TrialRules::KeepWorkerFree(unit, state.table);
       continue;
     }
-    if (!MayPreempt(unit)) {
+    // Work that displaces nobody for its cost would starve among smaller tasks.
+    if (!MayPreempt(unit) ||
+        (!unit.is_guaranteed && verdict != PreemptionVerdict::kNoVictims)) {
       ReserveForGang(state.in, state.table, unit, state.reservations);
     }
     // A plan only takes capacity, so the step's other units cannot be placed
@@ -587,7 +633,9 @@
   }
 }
 
-bool Dispatcher::PlanUnit(PlanState& state, const WaitingUnit& unit) const {
+PreemptionVerdict Dispatcher::PlanUnit(PlanState& state,
+                                       const WaitingUnit& unit) const {
+  state.migrations.ReserveBefore(unit);
   // Reservations are made for lower priorities, or by a wait for faster
   // machines, and neither comes before urgent work.
   const std::optional<UnitPlacement> placement = FindPlacementWithFallback(
@@ -596,17 +644,18 @@
            MayPreempt(unit) || state.idle_jobs.MayUseReserved(unit),
        .keep_whole_workers = state.keep_whole_workers});
   if (!placement) {
-    return MayPreempt(unit) && Preempt(state, unit);
+    return MayPreempt(unit) ? Preempt(state, unit)
+                            : PreemptionVerdict::kNoVictims;
   }
   if (PreemptOnFast(state, unit, *placement) ||
       state.fast_wait.MustWait(unit, *placement)) {
-    return true;
+    return PreemptionVerdict::kAccepted;
   }
   state.idle_jobs.SetRunning(unit.first_task.job);
   state.out.emplace_back(MakeRunStarted(state.in, unit, *placement));
   TraceStart(state.in, state.table, unit, *placement);
   ReservePlacement(unit, *placement, state.table);
-  return true;
+  return PreemptionVerdict::kAccepted;
 }
 
 }  // namespace marjoramplank
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/dispatch/fast_wait.h"
+#include "src/dispatch/migration.h"
 #include "src/dispatch/placement.h"
 #include "src/dispatch/preemption.h"
 #include "src/dispatch/reservation.h"
@@ -53,6 +54,8 @@
     // Most work that a unit of priority 0 beyond its account's guarantee may
     // cost its victims.
     double preemption_limit_core_seconds = 1500;
+    PreemptionPolicy preemption;
+    MigrationPolicy migration;
     // Estimated run time of a step that has no declared or learned one.
     Duration default_estimate{5000};
     // How long before its due time an occurrence of a recurring job may start.
@@ -73,6 +76,17 @@
     bool is_guaranteed = false;    // `for_unit` is within its guarantee.
     TaskRef victim;                // First task of the displaced unit.
     double lost_core_seconds = 0;  // By all victims of `for_unit`.
+    double gain = 0;               // See PreemptionPolicy. 0: guaranteed.
+    double loss = 0;
+  };
+  // A unit that could have displaced others but does not.
+  struct DeclinedPreemption {
+    TaskRef for_unit;
+    PreemptionVerdict verdict = PreemptionVerdict::kNoVictims;
+    std::size_t stops = 0;         // That it would have needed.
+    double lost_core_seconds = 0;  // By all of them.
+    double gain = 0;               // 0: not weighed.
+    double loss = 0;
   };
   // A start, with what was expected of it.
   struct Start {
@@ -97,6 +111,8 @@
     std::vector<Start> starts;  // In the order of their decisions.
     std::vector<FastWait::Wait> fast_waits;
     std::vector<Preemption> preemptions;
+    std::vector<DeclinedPreemption> declined_preemptions;
+    std::vector<Migration> migrations;
     std::vector<Reservation> reservations;
   };
 
@@ -134,9 +150,9 @@
                           const StepTimes& run_times,
                           std::vector<WaitingStep>& out) const;
   void PlanStep(PlanState& state, const WaitingStep& step) const;
-  // Starts the unit, preempts for it or lets it wait for faster machines.
-  // Returns false if there is no room.
-  bool PlanUnit(PlanState& state, const WaitingUnit& unit) const;
+  // Starts the unit, preempts for it or lets it wait for faster machines. Any
+  // other verdict: there is no room.
+  PreemptionVerdict PlanUnit(PlanState& state, const WaitingUnit& unit) const;
   static bool MayPreempt(const WaitingUnit& unit);
   std::set<std::string> JobsWithinGuarantee(const Input& in) const;
   static void ReservePlacement(const WaitingUnit& unit,
@@ -144,7 +160,9 @@
                                CapacityTable& table);
   void DeclareLostWorkers(const Input& in,
                           std::vector<LedgerRecord>& out) const;
-  void StopStalledRuns(const Input& in, std::vector<LedgerRecord>& out) const;
+  // Returns the units that are stopped.
+  std::set<TaskRef> StopStalledRuns(const Input& in,
+                                    std::vector<LedgerRecord>& out) const;
   Time ExpectedEnd(Time now, const JobStep& step, Duration run_time) const;
   // True while the unit waits for its preferred rack.
   bool WaitsForRack(const Input& in,
@@ -161,24 +179,24 @@
                       const CapacityTable& table,
                       const WaitingUnit& unit,
                       ReservationPlanner& reservations) const;
-  // Stops victims for the unit and reserves its capacity. Returns false if
-  // nothing may be preempted.
-  bool Preempt(PlanState& state, const WaitingUnit& unit) const;
+  // Stops victims for the unit and reserves its capacity, if that is worth it.
+  PreemptionVerdict Preempt(PlanState& state, const WaitingUnit& unit) const;
   // The same on fast machines, for an urgent unit that has room only on slow
   // ones, `slow`, and would end late there.
   bool PreemptOnFast(PlanState& state,
                      const WaitingUnit& unit,
                      const UnitPlacement& slow) const;
   // On fast machines if that is worth what it costs more than elsewhere.
-  std::optional<UnitPlacement> FindVictims(PlanState& state,
-                                           const WaitingUnit& unit) const;
+  PreemptionDecision FindVictims(PlanState& state,
+                                 const WaitingUnit& unit) const;
   // Core-seconds that the unit saves on machines of usual speed against a run
   // time of `slow_factor` times theirs, if it needs them to end in time; else
   // 0.
   double GainOnFast(const WaitingUnit& unit, double slow_factor) const;
   static void StopVictims(PlanState& state,
                           const WaitingUnit& unit,
-                          const UnitPlacement& placement);
+                          const PreemptionDecision& decision);
+  static void StopMigrating(PlanState& state);
 
   Options options_;
   TrialRules trials_;
--- a/src/jobs/job_snapshot.cc
+++ b/src/jobs/job_snapshot.cc
@@ -49,6 +49,8 @@
   out.setFailures(in.failures);
   out.setUnsettled(in.unfinished_members);
   out.setCheckpoint(in.checkpoint);
+  out.setDisplacements(in.displacements);
+  out.setMigrations(in.migrations);
   auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
   for (unsigned i = 0; i < members.size(); ++i) {
     ToWire(in.members[i], members[i]);
@@ -73,6 +75,8 @@
               .run = in.getRun(),
               .failures = in.getFailures(),
               .unfinished_members = in.getUnsettled(),
+              .displacements = in.getDisplacements(),
+              .migrations = in.getMigrations(),
               .checkpoint = FromWire(in.getCheckpoint()),
               .members = FromWire(in.getMembers())};
   for (const auto incarnation : in.getFailedOn()) {
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -166,6 +166,8 @@
   members @7 : List(Member);
   failedOn @8 : List(Life);
   crashes @9 : List(TaskCrashes);
+  displacements @10 : Int32;
+  migrations @11 : Int32;
 }
 
 struct SuspectRun {
@@ -232,6 +234,7 @@
   hasPayloadOfJob @10 : Bool;
   # Position from 1 in the snapshot's list of payloads. 0: not there.
   payloadNumber @11 : Int32;
+  projectedMs @12 : Int64;
 }
 
 struct WorkerState {
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -144,6 +144,7 @@
   out.setCheckpoint(in.checkpoint);
   out.setPercent(in.percent);
   out.setStalled(in.stalled);
+  out.setProjectedMs(in.projected_run_time.count());
 }
 
 void WriteWorker(const LedgerWorker& in,
@@ -162,6 +163,11 @@
   }
 }
 
+// 0 if the number is out of range.
+Duration PlausibleRunTime(std::int64_t ms) {
+  return ms > 0 && ms <= kMaxDuration.count() ? Duration(ms) : Duration(0);
+}
+
 LedgerWorker ReadWorker(Time now,
                         const PayloadReader& payloads,
                         ledger_wire::WorkerState::Reader in) {
@@ -186,6 +192,7 @@
                 .checkpoint = FromWire(r.getCheckpoint()),
                 .percent = r.getPercent(),
                 .stalled = r.getStalled(),
+                .projected_run_time = PlausibleRunTime(r.getProjectedMs()),
                 .first_seen_at = now};
     out.used += run.need;
     out.runs.emplace(FromWire(r.getTask()), std::move(run));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -104,6 +104,9 @@
                Duration ledger_age,
                std::int64_t position);
   void LogReservations(const std::vector<Reservation>& reservations, Time now);
+  void LogDeclinedPreemptions(
+      const std::vector<Dispatcher::DeclinedPreemption>& declined,
+      Time now);
   void LogFastWaits(const std::vector<FastWait::Wait>& waits, Time now);
   void LogDecisions(const std::vector<LedgerRecord>& records,
                     const Dispatcher::Trace& trace,
@@ -131,6 +134,8 @@
   std::int64_t snapshot_position_ = 0;
   // When the reservation of each gang was last logged. Older ones are dropped.
   std::map<TaskRef, Time> reservations_logged_at_;
+  // The same of each unit that displaces nobody.
+  std::map<TaskRef, Time> declines_logged_at_;
   // The same for units that wait for fast machines.
   std::map<TaskRef, Time> fast_waits_logged_at_;
   std::atomic<bool> is_draining_{false};
--- a/src/observability/metrics.cc
+++ b/src/observability/metrics.cc
@@ -53,6 +53,11 @@
     {"submits_unrunnable_total", "Refused: no known worker could ever run it"},
     {"submits_too_late_total", "Refused: could not end while it earns credit"},
     {"submits_unconfirmed_total", "Not refused, for want of a current ledger"},
+    {"stops_preempted_total", "Units stopped to make room"},
+    {"stops_evacuated_total", "Units stopped on workers that are vacated"},
+    {"stops_stalled_total", "Units stopped without progress"},
+    {"stops_migrated_total", "Units stopped to go on elsewhere"},
+    {"preemptions_declined_total", "Preemptions that were not worth it"},
 };
 
 constexpr MetricInfo kGauges[] = {
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -49,6 +49,12 @@
   // Accepted although admission would reject them: it could not be shown that
   // no other entry had accepted them.
   kSubmitsUnconfirmed,
+  // Planner: units stopped, by cause.
+  kStopsPreempted,
+  kStopsEvacuated,
+  kStopsStalled,
+  kStopsMigrated,
+  kPreemptionsDeclined,  // Planner: at most one a second for each unit.
   kCount,
 };
 
