Preemption test: runs on a slow machine go first only for gangs that end in time there

The section expected that the runs of a slow machine are displaced first in any case. With placement by expected end that is wrong for a gang that would be late on that machine: it takes a fast one. Both cases are checked now, each with the machine that must be chosen; the number of stops is checked besides.

--- a/tests/unit/preemption_value_test.cc
+++ b/tests/unit/preemption_value_test.cc
@@ -165,9 +165,22 @@
     cluster.Teach(slowness, kBatchTime, 4, "q2");
     FillAllWithBatch(cluster);
     cluster.Advance(3s);
-    cluster.Submit(DispatchCluster::Job("urgent", 0, UrgentGang(5, 1)));
-    CHECK(StoppedJobs(cluster.MakePlan()) ==
-          std::set<std::string>{BatchName(3)});
+    JobRequest urgent = DispatchCluster::Job("urgent", 0, UrgentGang(5, 1));
+
+    SECTION("if the gang can end in time there") {
+      urgent.terms.stretch = 2.4;  // 4.4 s on it; batch ends in 5 s.
+      cluster.Submit(urgent);
+      CHECK(StoppedJobs(cluster.MakePlan()) ==
+            std::set<std::string>{BatchName(3)});
+    }
+
+    SECTION("but a gang that would be late there takes one fast machine") {
+      cluster.Submit(urgent);
+      const auto plan = cluster.MakePlan();
+      CHECK(plan.stops.size() == 5);
+      CHECK(StoppedJobs(plan).size() == 1);
+      CHECK_FALSE(StoppedJobs(plan).contains(BatchName(3)));
+    }
   }
 
   SECTION("a gang that cannot earn any credit displaces nobody") {
