Preemption on fast machines is weighed like any other

A property test showed a preemption for an urgent gang with a gain of 0: the victims on fast machines had replaced a placement that needed none, without being weighed. They are now weighed by the credit that both sides earn, against a start on the slow machines.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -75,6 +75,12 @@
        .speed_order = placement.speed_order});
 }
 
+// When the unit would have to start on machines of usual speed to end when it
+// ends if it starts now and takes `factor` times its run time.
+Time StartOnUsual(Time now, const WaitingUnit& unit, double factor) {
+  return now + ScaledBy(factor - 1, unit.run_time);
+}
+
 // Accelerators of the largest worker, at least 1.
 std::int64_t MostAccelerators(const CapacityTable& table) {
   std::int64_t out = 1;
@@ -436,16 +442,28 @@
       !state.table.HasSlowWorkers()) {
     return anywhere;
   }
-  const double gain =
-      GainOnFast(unit, SlownessOf(state.table, anywhere.placement));
+  const double slowness = SlownessOf(state.table, anywhere.placement);
+  const double gain = GainOnFast(unit, slowness);
   std::optional<UnitPlacement> on_fast =
       gain > 0 ? FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0)
                : std::nullopt;
-  if (on_fast && on_fast->urgent_victims <= anywhere.placement.urgent_victims &&
-      on_fast->cost <= anywhere.placement.cost + gain) {
-    anywhere.placement = std::move(*on_fast);
+  if (!on_fast || on_fast->urgent_victims > anywhere.placement.urgent_victims ||
+      on_fast->cost > anywhere.placement.cost + gain) {
+    return anywhere;
+  }
+  PreemptionDecision fast = state.search.Weigh(
+      unit, std::move(*on_fast), StartOnUsual(state.in.now, unit, slowness));
+  if (unit.is_guaranteed) {
+    anywhere.placement = std::move(fast.placement);
+    return anywhere;
+  }
+  // The gain comes on top of that of a start on the slow machines.
+  fast.gain += anywhere.gain;
+  if (fast.gain - anywhere.gain <= fast.loss - anywhere.loss) {
+    return anywhere;
   }
-  return anywhere;
+  fast.verdict = PreemptionVerdict::kAccepted;
+  return fast;
 }
 
 PreemptionVerdict Dispatcher::Preempt(PlanState& state,
@@ -479,11 +497,12 @@
       !state.fast_wait.MayAwaitStops(unit, /*is_new=*/false)) {
     return false;
   }
-  const double gain = GainOnFast(unit, RunTimeFactor(state.table, unit, slow));
+  const double factor = RunTimeFactor(state.table, unit, slow);
+  const double gain = GainOnFast(unit, factor);
   if (gain <= 0) {
     return false;
   }
-  const std::optional<UnitPlacement> placement =
+  std::optional<UnitPlacement> placement =
       FindVictimsUpTo(state.search, unit, /*max_speed_class=*/0);
   // Without victims, another rule forbids what is free.
   if (!placement || placement->victims.empty() ||
@@ -493,8 +512,13 @@
        !state.fast_wait.MayAwaitStops(unit, /*is_new=*/true))) {
     return false;
   }
-  StopVictims(state, unit, {.placement = *placement, .gain = gain});
-  ReservePlacement(unit, *placement, state.table);
+  const PreemptionDecision decision = state.search.Weigh(
+      unit, std::move(*placement), StartOnUsual(state.in.now, unit, factor));
+  if (decision.verdict != PreemptionVerdict::kAccepted) {
+    return false;
+  }
+  StopVictims(state, unit, decision);
+  ReservePlacement(unit, decision.placement, state.table);
   return true;
 }
 
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -528,6 +528,18 @@
   return loss;
 }
 
+PreemptionDecision PreemptionSearch::Weigh(const WaitingUnit& unit,
+                                           UnitPlacement placement,
+                                           Time later) {
+  PreemptionDecision out{.placement = std::move(placement)};
+  out.gain = value_.GainOf(unit, forecast_.now() + policy_.stop_time, later);
+  out.loss = LossOf(out.placement);
+  if (out.gain <= out.loss) {
+    out.verdict = PreemptionVerdict::kLossTooHigh;
+  }
+  return out;
+}
+
 PreemptionDecision PreemptionSearch::Decide(const WaitingUnit& unit,
                                             double cost_limit) {
   const Shape shape = ShapeOf(unit);
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -70,6 +70,11 @@
       const WaitingUnit& unit,
       bool allow_any_rack,
       std::int32_t max_speed_class = kAnySpeedClass);
+  // Weighs the victims of a placement against a start at `later` without them,
+  // by the credit that both sides earn.
+  PreemptionDecision Weigh(const WaitingUnit& unit,
+                           UnitPlacement placement,
+                           Time later);
   // The plan stops this unit, for whatever cause.
   void MarkStopped(const TaskRef& first, bool is_guaranteed);
 
