--- a/src/dispatch/preemption_value.cc
+++ b/src/dispatch/preemption_value.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/preemption_value.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramplank {
 
@@ -57,12 +58,17 @@
                                        Time end) {
   const Time due_at = forecast_.DueAt(job, occurrence);
   const Duration objective = forecast_.Of(job).objective;
-  if (end <= due_at + objective) {
-    return 1;
-  }
-  return end <= due_at + objective * kLateCreditFactor
-             ? policy_.late_credit_fraction
-             : 0;
+  const double scale =
+      std::max(1.0, policy_.end_uncertainty *
+                        static_cast<double>((end - forecast_.now()).count()));
+  const auto probability_by = [&](Time limit) {
+    return 1 /
+           (1 + std::exp(static_cast<double>((end - limit).count()) / scale));
+  };
+  return policy_.late_credit_fraction *
+             probability_by(due_at + objective * kLateCreditFactor) +
+         (1 - policy_.late_credit_fraction) *
+             probability_by(due_at + objective);
 }
 
 double PreemptionValue::GainOf(const WaitingUnit& unit, Time soon, Time later) {
@@ -78,7 +84,8 @@
   const double share = static_cast<double>(unit.member_count) /
                        static_cast<double>(unit.step->tasks);
   const double gained = fraction(soon) - fraction(later);
-  return gained > 0 ? gained * share * CreditOf(job) : 0;
+  return gained >= policy_.min_gained_fraction ? gained * share * CreditOf(job)
+                                               : 0;
 }
 
 bool PreemptionValue::HasWaitingUnits(const StepState& step) {
--- a/src/dispatch/preemption_value.h
+++ b/src/dispatch/preemption_value.h
@@ -23,11 +23,18 @@
   // By priority, the highest first; lower ones have the last weight. Urgent
   // jobs are small and worth more than batch jobs that use ten times as much.
   std::array<double, 3> credit_weights{4, 3, 1};
-  // Credit of a late end, relative to one by the deadline.
-  double late_credit_fraction = 0.5;
-  // From a stop's decision until its capacity can be used: the longest grace
-  // period of a stop on the platform.
-  Duration stop_time{900};
+  // Credit of a late end, relative to one by the deadline: customers value it
+  // at 0.2 to 0.3.
+  double late_credit_fraction = 0.25;
+  // Scale of the logistic distribution of an expected end, relative to the time
+  // until then. An end shortly before or after a deadline may be on either
+  // side of it.
+  double end_uncertainty = 0.15;
+  // Smallest gain, as a fraction of the unit's credit. Less is uncertain.
+  double min_gained_fraction = 0.02;
+  // From a stop's decision until its capacity can be used. Workers give a run
+  // 0.2 to 0.9 s to stop.
+  Duration stop_time{500};
   // Run time that a task loses by resuming from a checkpoint.
   Duration restart_time{600};
   // Expected wait of a displaced unit for capacity.
@@ -60,7 +67,7 @@
   double CreditWeight(const LedgerJob& job) const;
 
  private:
-  // Fraction of the full credit, for an end at `end`.
+  // Expected fraction of the full credit, for an expected end at `end`.
   double CreditFraction(const LedgerJob& job,
                         std::int32_t occurrence,
                         Time end);
