--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -107,12 +107,9 @@
                                         policy_.min_run_after_displacement);
 }
 
-double PreemptionSearch::CostOf(const Victim& victim, const Rank& rank) {
-  return rank.is_guaranteed
-             ? victim.lost_work
-             : victim.lost_work * value_.CreditWeight(*victim.job) +
-                   value_.CreditLoss(*victim.job, *victim.task,
-                                     victim.remaining);
+double PreemptionSearch::CostOf(const Victim& victim) {
+  return victim.lost_work * value_.CreditWeight(*victim.job) +
+         value_.CreditLoss(*victim.job, *victim.task, victim.remaining);
 }
 
 void PreemptionSearch::AppendVictim(const LedgerWorker& entry,
@@ -149,11 +146,11 @@
                 .need = run.need,
                 .is_urgent = job->request.terms.priority <= rank.priority,
                 .lost_work = LostWork(forecast_, *job, entry, task, run)};
+  victim.remaining =
+      unit.members.size() > 1
+          ? forecast_.RemainingOfUnit(*job, FirstTaskOfUnit(*job, task), unit)
+          : forecast_.Remaining(*job, entry, task, run);
   if (!rank.is_guaranteed) {
-    victim.remaining =
-        unit.members.size() > 1
-            ? forecast_.RemainingOfUnit(*job, FirstTaskOfUnit(*job, task), unit)
-            : forecast_.Remaining(*job, entry, task, run);
     if (victim.remaining <= policy_.stop_time &&
         forecast_.IsReliable(*job, task, run)) {
       out.total -= run.need;
@@ -165,7 +162,7 @@
       return;
     }
   }
-  victim.cost = CostOf(victim, rank);
+  victim.cost = CostOf(victim);
   out.victims.push_back(victim);
 }
 
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -86,9 +86,9 @@
     const RunUnit* unit = nullptr;
     Resources need;
     bool is_urgent = false;  // Displaced only if nothing else makes room.
-    Duration remaining{0};   // Beyond a guarantee only.
-    double lost_work = 0;    // Core-seconds, by all of the unit's runs.
-    double cost = 0;         // What the victims are selected by.
+    Duration remaining{0};
+    double lost_work = 0;  // Core-seconds, by all of the unit's runs.
+    double cost = 0;       // What the victims are selected by.
   };
   // Preemptible units of a worker, those that are not urgent first, by
   // ascending cost.
@@ -136,7 +136,7 @@
                     const LiveRun& run,
                     const Rank& rank,
                     VictimList& out);
-  double CostOf(const Victim& victim, const Rank& rank);
+  double CostOf(const Victim& victim);
   bool IsChosen(const Victim& victim) const {
     return chosen_.contains(victim.unit) || stopped_.contains(victim.unit);
   }
