--- a/bench/dispatch/dispatcher_benchmark.cc
+++ b/bench/dispatch/dispatcher_benchmark.cc
@@ -2,6 +2,7 @@
 // of workers and of waiting units, with and without learned run times.
 
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
 #include <string>
 
@@ -146,6 +147,27 @@
     ->Args({2'400, 5'000, 1})
     ->Unit(benchmark::kMillisecond);
 
+// Time and heap of the copy that an explanation of a job plans on.
+void CopyForPlanning(benchmark::State& state) {
+  const Ledger ledger = FullCluster(static_cast<int>(state.range(0)),
+                                    static_cast<int>(state.range(1)), true);
+  for (auto _ : state) {
+    const struct mallinfo2 before = mallinfo2();
+    const Ledger copy = ledger.CopyForPlanning();
+    const struct mallinfo2 after = mallinfo2();
+    state.counters["units"] = static_cast<double>(copy.OpenUnitCount());
+    state.counters["bytes"] = static_cast<double>(after.uordblks) +
+                              static_cast<double>(after.hblkhd) -
+                              static_cast<double>(before.uordblks) -
+                              static_cast<double>(before.hblkhd);
+  }
+}
+BENCHMARK(CopyForPlanning)
+    ->ArgNames({"workers", "units"})
+    ->Args({240, 5'000})
+    ->Args({240, 18'000})
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace marjoramplank
 
--- a/src/cli/cli_main.cc
+++ b/src/cli/cli_main.cc
@@ -41,6 +41,9 @@
   visible.add_options()(
       "entries,e", po::value(&entries),
       "IP:port of the entries, comma-separated (or MARJORAMPLANK_ENTRIES)")(
+      "entry", po::value(&options.metrics_entry),
+      "explain: HOST:PORT of the metrics address of an entry on the platform's "
+      "log service; nothing is submitted")(
       "json", po::bool_switch(&options.print_json), "print JSON")(
       "wait,w", po::bool_switch(&options.wait_for_completion),
       "wait until the job ends or the change is applied everywhere")(
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <iostream>
 
+#include "src/cli/explain_command.h"
 #include "src/cli/job_commands.h"
 #include "src/cli/operator_commands.h"
 
@@ -30,9 +31,15 @@
       {"cancel", "JOB", "cancel a job; --wait until it has ended",
        CancelCommand},
       {"jobs", "ACCOUNT", "list the jobs of a client account", JobsCommand},
-      {"explain", "JOB",
-       "show why a job is waiting and what would let it run, or where it runs",
-       ExplainCommand},
+      {"explain", "JOB|FILE",
+       "show why a job is waiting and what would let it run, or where it runs; "
+       "with --entry:\n                        where the job in a JSON file, - "
+       "for standard input, would go now and why",
+       [](const CliOptions& options, const std::string& argument) {
+         return options.metrics_entry.empty()
+                    ? ExplainCommand(options, argument)
+                    : ExplainFileCommand(options, argument);
+       }},
       {"trace", "JOB", "print the trace of a job as a tree of spans",
        TraceCommand},
       {"status", "",
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -37,6 +37,9 @@
   std::string author = "operator";
   // Publish a document even if its guarantees cannot be met.
   bool force = false;
+  // "HOST:PORT" of the metrics address of an entry on the platform's log
+  // service. Set: `explain` reads a job from a file and asks this entry.
+  std::string metrics_entry;
   // Interval at which the status command refreshes its output. 0: print once.
   Duration refresh_interval{0};
 };
--- a/src/codec/object_reader.cc
+++ b/src/codec/object_reader.cc
@@ -132,6 +132,34 @@
   return true;
 }
 
+bool ObjectReader::Read(const char* key,
+                        std::vector<std::int32_t>& out,
+                        Need need) {
+  Poco::Dynamic::Var v;
+  if (!FindField(key, need, v)) {
+    return false;
+  }
+  if (v.type() != typeid(Poco::JSON::Array::Ptr)) {
+    ReportError(key, "must be an array of whole numbers");
+    return false;
+  }
+  std::vector<std::int32_t> read;
+  for (const Poco::Dynamic::Var& item : *v.extract<Poco::JSON::Array::Ptr>()) {
+    if (!item.isInteger() || item.isBoolean()) {
+      ReportError(key, "must be an array of whole numbers");
+      return false;
+    }
+    try {
+      read.push_back(item.convert<std::int32_t>());
+    } catch (const Poco::Exception&) {
+      ReportError(key, "has too large a number");
+      return false;
+    }
+  }
+  out = std::move(read);
+  return true;
+}
+
 void ObjectReader::ReadObject(const char* key,
                               const std::function<void(ObjectReader&)>& read,
                               Need need) {
--- a/src/codec/object_reader.h
+++ b/src/codec/object_reader.h
@@ -37,6 +37,9 @@
   bool Read(const char* key,
             std::vector<std::string>& out,
             Need need = Need::kOptional);
+  bool Read(const char* key,
+            std::vector<std::int32_t>& out,
+            Need need = Need::kOptional);
 
   // Call `read` for the object under the key or, in ReadObjects(), for each
   // object of the array under the key. Report the keys that `read` leaves
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -544,6 +544,9 @@
   for (const WaitingStep& step : waiting_steps) {
     PlanStep(state, step);
   }
+  if (in.order != nullptr) {
+    *in.order = waiting_steps;
+  }
   if (in.trace != nullptr) {
     in.trace->usable_workers = table.workers().size();
     for (const WaitingStep& step : waiting_steps) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -107,6 +107,8 @@
     const Ledger& ledger;
     const RulesView& rules;
     Trace* trace = nullptr;  // Filled if set.
+    // Set to what waits, in scheduling order, if set. Points into the ledger.
+    std::vector<WaitingStep>* order = nullptr;
   };
 
   explicit Dispatcher(Options options)
@@ -117,10 +119,13 @@
   // is free already, never that of a run that the same plan stops.
   std::vector<LedgerRecord> Plan(const Input& in) const;
 
+  // The workers that a plan may use, before it takes any of their capacity.
+  // Points into the ledger.
+  CapacityTable BuildCapacityTable(const Input& in) const;
+
  private:
   struct PlanState;
 
-  CapacityTable BuildCapacityTable(const Input& in) const;
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
                      const LedgerWorker& worker) const;
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -105,6 +105,55 @@
   });
 }
 
+Ledger Ledger::CopyForPlanning() const {
+  // Plans only ask whether there is a checkpoint.
+  const auto reduce = [](std::string& checkpoint) {
+    checkpoint = checkpoint.empty() ? "" : "c";
+  };
+  Ledger out;
+  out.open_jobs_ = open_jobs_;
+  for (const std::string& id : open_jobs_) {
+    LedgerJob& job = out.jobs_.emplace(id, jobs_.at(id)).first->second;
+    job.request.payload = std::string();
+    for (std::vector<StepState>& steps : job.occurrences) {
+      for (StepState& step : steps) {
+        for (RunUnit& unit : step.units) {
+          reduce(unit.checkpoint);
+        }
+      }
+    }
+  }
+  for (const auto& [incarnation, worker] : workers_) {
+    LedgerWorker& copy =
+        out.workers_.emplace(incarnation, worker).first->second;
+    for (auto& [task, run] : copy.runs) {
+      run.payload = std::string();
+      reduce(run.checkpoint);
+    }
+  }
+  out.agents_ = agents_;
+  out.run_times_ = run_times_;
+  out.planner_ = planner_;
+  out.planner_epoch_ = planner_epoch_;
+  out.planner_last_seen_at_ = planner_last_seen_at_;
+  out.accepted_count_ = accepted_count_;
+  out.last_record_at_ = last_record_at_;
+  out.listening_time_ = listening_time_;
+  return out;
+}
+
+std::size_t Ledger::OpenUnitCount() const {
+  std::size_t out = 0;
+  for (const std::string& id : open_jobs_) {
+    for (const std::vector<StepState>& steps : jobs_.at(id).occurrences) {
+      for (const StepState& step : steps) {
+        out += step.units.size();
+      }
+    }
+  }
+  return out;
+}
+
 bool Ledger::ApplyRecord(Time now, const JobSubmitted& r) {
   const std::string& id = r.request.id;
   if (jobs_.contains(id)) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -154,6 +154,13 @@
   // worker gets work again once its agent reports it anew.
   void ForgetLiveness();
 
+  // A copy that plans like the ledger, for a plan of what would happen. It has
+  // the open jobs only, no payloads and only marks of checkpoints: don't save
+  // it as a snapshot.
+  Ledger CopyForPlanning() const;
+  // Units of all open jobs, done ones included. Bounds the size of that copy.
+  std::size_t OpenUnitCount() const;
+
   const LedgerJob* FindJob(const std::string& id) const;
   const LedgerWorker* FindWorker(const WorkerIncarnation& incarnation) const;
   // Workers that have crashed under the task. 0: none, or an unknown task.
--- a/src/node/admission_gate.cc
+++ b/src/node/admission_gate.cc
@@ -122,6 +122,12 @@
   return true;
 }
 
+AdmissionDecision AdmissionGate::Preview(const JobRequest& request,
+                                         const RulesView& rules) {
+  MeasureIfDue(BootClockNow(), rules);
+  return Evaluate(request, rules);
+}
+
 AdmissionDecision AdmissionGate::Decide(const JobRequest& request,
                                         const RulesView& rules,
                                         Time received_at,
--- a/src/node/admission_gate.h
+++ b/src/node/admission_gate.h
@@ -42,6 +42,9 @@
                            Time received_at,
                            Time latest);
 
+  // What Decide() would find at once, without confirming the ledger.
+  AdmissionDecision Preview(const JobRequest& request, const RulesView& rules);
+
   // Call before a submission is passed to the log, and when that has an
   // outcome. `is_settled`: the outcome is known.
   void BeginSubmission(const std::string& job);
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -77,6 +77,10 @@
               {.partition = options_.rules, .ring = &rules_.ring()}},
              relay_writer_),
       job_service_(options_.job_service, rules_, ledger_, writer_, metrics_),
+      explain_service_({.dispatch = options_.dispatch},
+                       rules_,
+                       ledger_,
+                       job_service_),
       leadership_(
           {.name = options_.name,
            .records = options_.records,
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "src/dispatch/dispatcher.h"
+#include "src/node/explain_service.h"
 #include "src/node/job_service.h"
 #include "src/node/machine_speed_watch.h"
 #include "src/node/planner_leadership.h"
@@ -67,6 +68,7 @@
   // Counters and histograms in the Prometheus text format.
   std::string RenderMetrics() const { return metrics_.Render(options_.name); }
   JobService& job_service() { return job_service_; }
+  ExplainService& explain_service() { return explain_service_; }
   bool IsReady() const;  // False while draining.
 
   // Reports not ready from here on. Requests are still served, and a planner
@@ -119,6 +121,7 @@
   LedgerWriter relay_writer_;
   RelayServer relay_;
   JobService job_service_;
+  ExplainService explain_service_;
   PlannerLeadership leadership_;
   Dispatcher dispatcher_;
   // Jobs ended so far. Used in the ledger follower's callback only, which runs
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -78,6 +78,12 @@
   ClientResponse GetStatus(const ClientRequest& call) const;
   ClientResponse Cancel(const ClientRequest& call);
 
+  // Whether a submission of the job would be rejected for want of capacity.
+  AdmissionDecision PreviewAdmission(const JobRequest& request,
+                                     const RulesView& rules) {
+    return admission_gate_.Preview(request, rules);
+  }
+
   // True while the rules and the ledger are loaded and fresh.
   bool IsReady(Time now) const;
 
