--- a/tests/unit/dispatch_scale_test.cc
+++ b/tests/unit/dispatch_scale_test.cc
@@ -66,6 +66,7 @@
 void LearnSpeeds(Ledger& ledger) {
   constexpr double kSlowness = 2.2;
   std::vector<TrainedMachine> machines;
+  machines.reserve(kWorkers);
   for (int n = 0; n < kWorkers; ++n) {
     machines.push_back(
         {.worker = MakeIncarnation(n), .slowness = n % 3 == 0 ? kSlowness : 1});
