Review case 6: a late order starts a task in the next life of its worker

Cause: an order without an answer outlives the worker's crash; the agent states the end of its run as soon as no process listens. Change: the case, and a stand-in of the network between an agent and its worker.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,3 +8,4 @@
   g++ -std=c++20 -O1 -I. "tests/standins/$name.cc" -o "review/bin/2/$name" \
     -lPocoNet -lPocoJSON -lPocoFoundation -lpthread
 done
+g++ -std=c++20 -O1 review/late_network.cc -o review/bin/2/late_network -lpthread
