--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 # same time on workers that are up.
 set -u
 . "$(dirname "${BASH_SOURCE[0]}")/../lib-2.sh"
-begin "$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)" 2 2
+begin "$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)" 2 7
 # The agent of machine 1 calls its worker through the network's stand-in. The
 # worker listens at the machine's relay port, as an agent opens none.
 eval "start_worker_of_one() $(declare -f start_worker | tail -n +2)"
--- a/review/late_network.cc
+++ b/review/late_network.cc
@@ -139,8 +139,8 @@
   SendAll(fd, call);
   std::string rest;
   const std::string answer = ReceiveMessage(fd, rest);
-  Note("delivered late: " + BodyOf(call) + " -> " +
-       answer.substr(9, 3) + " " + BodyOf(answer));
+  Note("delivered late: " + BodyOf(call) + " -> " + answer.substr(9, 3) + " " +
+       BodyOf(answer));
   close(fd);
 }
 
