--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,9 +7,9 @@
 begin "$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)" 2 3
 start_all
 
-COUNT=12000
+COUNT=8000
 JOB=f00d000000000001
-answer=$(call POST 1 "/q/$JOB" '{"taskSpec":"0:run_ms=600000","steps":[{"count":'$COUNT',"cpu":10,"memMb":1,"estimatedMs":600000,"requirements":"r1"}]}')
+answer=$(call POST 1 "/q/$JOB" '{"taskSpec":"0:run_ms=600000","steps":[{"count":'$COUNT',"cpu":15,"memMb":1,"estimatedMs":600000,"requirements":"r1"}]}')
 [ "${answer%% *}" = 200 ] || could_not_run "the wide job is not accepted: $answer"
 sleep 1.2
 begun=$(grep -c "i-1 run starts $JOB" "$RECORD")
