Many runs: a decision that no log takes stops nobody else's work

Cause: the loss was stated in one record of 300,748 bytes, above the log's limit. It was dropped, which changed nothing, so each plan was the same again; and a plan with a lost worker returned before it planned anything else.

Change: records name at most 128 runs; more take several records, each complete in itself, also where an agent states them, and suspects of a crash. A plan goes on after lost workers. A start that cannot be stored is left out of later plans, so its capacity serves others, and a checkpoint that makes a record too large is dropped instead of the record. Ledger::EndedRuns looks named runs up instead of searching the list.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -308,14 +308,17 @@
       in.trace->lost_workers.push_back(
           {.incarnation = agent.incarnation, .silence = silence});
     }
-    WorkerEmptied lost{
-        .incarnation = agent.incarnation,
-        .epoch = in.epoch,
-        .reason = "no beat of its agent until every lease had run out"};
+    std::vector<RunRef> runs;
     for (const auto& [task, run] : worker->runs) {
-      lost.runs.push_back({.task = task, .run = run.run});
+      runs.push_back({.task = task, .run = run.run});
+    }
+    for (std::vector<RunRef>& part : SplitRuns(runs)) {
+      out.emplace_back(WorkerEmptied{
+          .incarnation = agent.incarnation,
+          .epoch = in.epoch,
+          .runs = std::move(part),
+          .reason = "no beat of its agent until every lease had run out"});
     }
-    out.emplace_back(std::move(lost));
   }
 }
 
@@ -587,10 +590,9 @@
 
 std::vector<LedgerRecord> Dispatcher::Plan(const Input& in) const {
   std::vector<LedgerRecord> out;
+  // The units of lost workers wait from the next plan on. The others don't wait
+  // for that one.
   DeclareLostWorkers(in, out);
-  if (!out.empty()) {
-    return out;  // The next plan uses the capacity that this frees.
-  }
   const std::set<TaskRef> stalled_units = StopStalledRuns(in, out);
   CapacityTable table = BuildCapacityTable(in);
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
@@ -639,6 +641,10 @@
       return;
     }
     unit.first_task.index = static_cast<std::int32_t>(n);
+    if (state.in.excluded_units != nullptr &&
+        state.in.excluded_units->contains(unit.first_task)) {
+      continue;
+    }
     unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
     if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
         state.fast_wait.TakeWaitOfStep(unit)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -122,6 +122,9 @@
     std::int64_t epoch = 0;    // Epoch of the planner that makes the plan.
     const Ledger& ledger;
     const RulesView& rules;
+    // First tasks of units whose start the log does not take. They get no
+    // capacity, so that others may have it.
+    const std::set<TaskRef>* excluded_units = nullptr;
     Trace* trace = nullptr;  // Filled if set.
     // Set to what waits, in scheduling order, if set. Points into the ledger.
     std::vector<WaitingStep>* order = nullptr;
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -1,6 +1,7 @@
 #include "src/jobs/ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -797,12 +798,15 @@
 
 std::vector<RunRef> Ledger::EndedRuns(const LedgerWorker& worker,
                                       const WorkerEmptied& r) {
-  std::vector<RunRef> out = RunsOf(worker);
-  if (!r.incarnation_ended && !r.runs.empty()) {
-    std::erase_if(out, [&](const RunRef& run) {
-      return std::find(r.runs.begin(), r.runs.end(), run) == r.runs.end();
-    });
+  if (r.incarnation_ended || r.runs.empty()) {
+    return RunsOf(worker);
   }
+  std::vector<RunRef> out;
+  std::copy_if(r.runs.begin(), r.runs.end(), std::back_inserter(out),
+               [&](const RunRef& run) {
+                 const auto it = worker.runs.find(run.task);
+                 return it != worker.runs.end() && it->second.run == run.run;
+               });
   return out;
 }
 
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -33,6 +33,11 @@
   friend bool operator==(const RunRef&, const RunRef&) = default;
 };
 
+// Most runs that one record names, so that it fits into any log: a worker may
+// have thousands. More are named by several records, each of them complete.
+inline constexpr std::size_t kMaxRunsOfRecord = 128;
+std::vector<std::vector<RunRef>> SplitRuns(const std::vector<RunRef>& runs);
+
 struct JobSubmitted {
   JobRequest request;
   friend bool operator==(const JobSubmitted&, const JobSubmitted&) = default;
@@ -101,10 +106,12 @@
   bool incarnation_ended = false;
   // Its process ended without having announced it, while its agent watched.
   bool crashed = false;
-  // Which of its runs may have crashed it. Empty: none was started lately.
+  // Which of its runs may have crashed it, at most kMaxRunsOfRecord. Empty:
+  // none was started lately.
   std::vector<RunRef> suspects;
   // The runs that have ended, if the incarnation goes on: the worker may have
-  // got others since this was decided. Empty: all of them.
+  // got others since this was decided, or other records name the rest. Empty:
+  // all of them.
   std::vector<RunRef> runs;
   std::string reason;
   AgentStatement statement;  // Empty: of the planner.
@@ -227,4 +234,8 @@
                                   StartRefused,
                                   RunObserved>;
 
+// Removes the checkpoint, which is the one part of a record that the task can
+// do without: it starts from the beginning. Returns false if there is none.
+bool DropCheckpoint(LedgerRecord& record);
+
 }  // namespace marjoramplank
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -472,6 +472,7 @@
                               .epoch = ledger.planner_epoch(),
                               .ledger = ledger,
                               .rules = *rules,
+                              .excluded_units = &leadership_.oversized_starts(),
                               .trace = &trace});
         took = BootClockNow() - started_at;
         return out;
--- a/src/node/planner_leadership.cc
+++ b/src/node/planner_leadership.cc
@@ -14,6 +14,8 @@
 
 // Separates the machine's name and the random run number of a planner id.
 constexpr char kRunSeparator[] = "#";
+// Beyond, they are planned once more.
+constexpr std::size_t kMaxOversizedStarts = 10'000;
 
 }  // namespace
 
@@ -129,15 +131,28 @@
 }
 
 std::vector<std::string> PlannerLeadership::EncodeAppendable(
-    const std::vector<LedgerRecord>& records) const {
+    const std::vector<LedgerRecord>& records) {
   std::vector<std::string> out;
   out.reserve(records.size());
   for (const LedgerRecord& r : records) {
     std::string bytes = EncodeRecord(r);
+    if (!limits_.MayAppend(bytes)) {
+      LedgerRecord reduced = r;
+      bytes = DropCheckpoint(reduced) ? EncodeRecord(reduced) : bytes;
+    }
     if (limits_.MayAppend(bytes)) {
       out.push_back(std::move(bytes));
-    } else {
-      LogEvent("decision_too_large").With("bytes", bytes.size());
+      continue;
+    }
+    const auto* start = std::get_if<RunStarted>(&r);
+    LogEvent("decision_too_large")
+        .With("bytes", bytes.size())
+        .With("task", start == nullptr ? "" : ToString(start->first));
+    if (start != nullptr) {
+      if (oversized_starts_.size() >= kMaxOversizedStarts) {
+        oversized_starts_.clear();
+      }
+      oversized_starts_.insert(start->first);
     }
   }
   return out;
--- a/src/node/planner_leadership.h
+++ b/src/node/planner_leadership.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,12 +90,18 @@
   // after the part before it. Leaves out a record that is too large.
   std::optional<std::int64_t> Append(const std::vector<LedgerRecord>& records,
                                      std::int64_t epoch);
+  // First tasks of the units whose start was left out. Planned again, it would
+  // be left out again, and its capacity would be kept from others.
+  const std::set<TaskRef>& oversized_starts() const {
+    return oversized_starts_;
+  }
 
  private:
   CampaignSchedule::Failure ElectionFailure(const AppendResult& result) const;
-  // Encodes the records, without those that are too large.
+  // Encodes the records: without their checkpoints, or not at all, if they are
+  // too large.
   std::vector<std::string> EncodeAppendable(
-      const std::vector<LedgerRecord>& records) const;
+      const std::vector<LedgerRecord>& records);
   void OnAppendFailed(const AppendResult& result,
                       Time sent_at,
                       std::int64_t epoch);
@@ -120,6 +127,7 @@
   bool election_unconfirmed_ = false;
   AdaptiveTimeout append_timeout_;
   AppendLimits limits_;
+  std::set<TaskRef> oversized_starts_;
   // Epoch in which this process was fenced off or stepped down.
   std::int64_t relinquished_epoch_ = -1;
   Time failing_since_{0};  // 0: the last append was stored.
--- a/src/store/ledger_writer.cc
+++ b/src/store/ledger_writer.cc
@@ -203,6 +203,12 @@
 }
 
 void LedgerWriter::RejectOversized(std::vector<Pending>& batch, Time now) {
+  for (Pending& p : batch) {
+    if (!limits_.MayAppend(p.bytes) && DropCheckpoint(p.item.record)) {
+      LogEvent("checkpoint_too_large").With("bytes", p.bytes.size());
+      p.bytes = EncodeRecord(p.item.record);
+    }
+  }
   const auto first_oversized = std::stable_partition(
       batch.begin(), batch.end(),
       [&](const Pending& p) { return limits_.MayAppend(p.bytes); });
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -227,12 +227,21 @@
 }
 
 std::vector<RunRef> Supervisor::RunsStartedBefore(Time crash) const {
-  std::vector<RunRef> out;
+  std::vector<std::pair<Time, RunRef>> begun;
   for (const auto& [task, run] : runs_) {
     if (run.begun_at != Time{0} && crash - run.begun_at < kCrashBlameWindow) {
-      out.push_back({.task = task, .run = run.run});
+      begun.emplace_back(run.begun_at, RunRef{.task = task, .run = run.run});
     }
   }
+  const auto is_later = [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  };
+  std::stable_sort(begun.begin(), begun.end(), is_later);
+  begun.resize(std::min(begun.size(), kMaxRunsOfRecord));
+  std::vector<RunRef> out;
+  for (auto& [begun_at, run] : begun) {
+    out.push_back(std::move(run));
+  }
   return out;
 }
 
@@ -779,11 +788,13 @@
     return;
   }
   given_up_at_ = now;
-  out.emplace_back(
-      WorkerEmptied{.incarnation = worker_->incarnation,
-                    .runs = std::move(expired),
-                    .reason = "no answer until every lease had run out",
-                    .statement = NextStatement()});
+  for (std::vector<RunRef>& part : SplitRuns(expired)) {
+    out.emplace_back(
+        WorkerEmptied{.incarnation = worker_->incarnation,
+                      .runs = std::move(part),
+                      .reason = "no answer until every lease had run out",
+                      .statement = NextStatement()});
+  }
 }
 
 }  // namespace marjoramplank
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -225,7 +225,7 @@
   struct Restart;
   void BeginRestart(Restart restart);
   // States the runs of the ended incarnation that cannot be at work any more.
-  void StateEndedRuns(std::vector<RunRef> runs);
+  void StateEndedRuns(const std::vector<RunRef>& runs);
   // The same for orders that were read, or had not been sent, as it ended.
   void StateUnsentRuns(const Ledger& ledger);
   std::optional<HoldCall> NextRestartHold(Time now);
@@ -246,7 +246,8 @@
   // True if the worker's present capacity has room for the run beside all that
   // it may be running, including what is being stopped.
   bool HasRoomFor(const LocalRun& run) const;
-  // Runs that the worker had started, or may have, shortly before `crash`.
+  // Runs that the worker had started, or may have, shortly before `crash`: the
+  // last ones, as many as a record names.
   std::vector<RunRef> RunsStartedBefore(Time crash) const;
   void RecordRefusal(const TaskRef& task,
                      LocalRun& run,
--- a/src/supervisor/supervisor_restart.cc
+++ b/src/supervisor/supervisor_restart.cc
@@ -87,25 +87,24 @@
       ended.push_back({.task = task, .run = run.run});
     }
   }
-  StateEndedRuns(std::move(ended));
+  StateEndedRuns(ended);
 }
 
-void Supervisor::StateEndedRuns(std::vector<RunRef> runs) {
-  if (runs.empty()) {
-    return;
-  }
+void Supervisor::StateEndedRuns(const std::vector<RunRef>& runs) {
   for (const RunRef& run : runs) {
     restart_->stated.insert({run.task, run.run});
   }
   WorkerEmptied& end = restart_->end;
-  // A crash is stated once.
-  pending_records_.emplace_back(
-      WorkerEmptied{.incarnation = end.incarnation,
-                    .crashed = std::exchange(end.crashed, false),
-                    .suspects = std::exchange(end.suspects, {}),
-                    .runs = std::move(runs),
-                    .reason = end.reason,
-                    .statement = NextStatement()});
+  for (std::vector<RunRef>& part : SplitRuns(runs)) {
+    // A crash is stated once.
+    pending_records_.emplace_back(
+        WorkerEmptied{.incarnation = end.incarnation,
+                      .crashed = std::exchange(end.crashed, false),
+                      .suspects = std::exchange(end.suspects, {}),
+                      .runs = std::move(part),
+                      .reason = end.reason,
+                      .statement = NextStatement()});
+  }
 }
 
 void Supervisor::StateUnsentRuns(const Ledger& ledger) {
@@ -126,7 +125,7 @@
       unsent.push_back({.task = task, .run = live.run});
     }
   }
-  StateEndedRuns(std::move(unsent));
+  StateEndedRuns(unsent);
 }
 
 void Supervisor::OnRestartStartReply(const StartCall& call,
--- a/tests/unit/append_size_test.cc
+++ b/tests/unit/append_size_test.cc
@@ -131,6 +131,19 @@
     CHECK(log.refused.empty());
     CHECK(fallback_records.empty());
   }
+  SECTION("nor does it keep its capacity: it is excluded from later plans") {
+    leadership.Append({Start(0, 20'000), Start(7, 1)}, 3);
+    CHECK(leadership.oversized_starts() ==
+          std::set<TaskRef>{{.job = "bc0e7a21d94b36e0"}});
+  }
+  SECTION("one that is too large with its checkpoint is stored without") {
+    log.limits.record_bytes = 20'000;
+    RunStarted start = Start(0, 1);
+    start.checkpoint = std::string(kMaxCheckpointBytes, 'c');
+    leadership.Append({start}, 3);
+    leadership.Append({start}, 3);
+    CHECK((log.stored == Encoded({Start(0, 1)})));
+  }
   SECTION("on a log service that takes less, and that refuses nothing twice") {
     log.limits = {.record_bytes = 20'000, .call_bytes = 100'000};
     std::vector<LedgerRecord> plan = PlanOf(10'000);
@@ -200,6 +213,15 @@
     CHECK(outcome == LedgerWriter::Outcome::kNotStored);
     CHECK(RefusedOnlyOnce(log));
   }
+  SECTION("an end that is too large with its checkpoint is stored without") {
+    log.limits.record_bytes = 20'000;
+    TaskEnded end{.incarnation = {.id = "w"}, .end_number = 1};
+    end.checkpoint = std::string(kMaxCheckpointBytes, 'c');
+    CHECK(writer.AppendAndWait(end, BootClockNow() + 1s) ==
+          LedgerWriter::Outcome::kStored);
+    end.checkpoint.clear();
+    CHECK((log.stored == Encoded({end})));
+  }
   SECTION("nor does a batch that is too large") {
     log.limits.call_bytes = 50'000;
     for (int n = 0; n < 20; ++n) {
