Changed queues: open jobs follow their queue to another service

Cause: a job kept a copy of the name and the service of its queue, and nothing by which the queue can be found again. About fifteen places read the copy: placement, fair share, preemption, admission, run times and others.

Change: jobs keep the address of their queue. Runs go on where they are and count neither in the use nor in the load of the new service.

--- a/src/admission/service_load.cc
+++ b/src/admission/service_load.cc
@@ -125,7 +125,8 @@
   for (std::size_t u = 0; u < units.size(); ++u) {
     const RunUnit& unit = units[u];
     task.index = static_cast<std::int32_t>(u);
-    if (unit.phase == RunUnit::Phase::kRunning) {
+    if (unit.phase == RunUnit::Phase::kRunning &&
+        ledger.IsAtServiceOfJob(view.job, unit)) {
       running += unit.unfinished_members *
                  SecondsLeft(now, ledger, task, unit, view.run_times[s]);
     } else if (unit.phase == RunUnit::Phase::kWaiting && view.counts_waiting) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -272,11 +272,21 @@
 std::vector<WaitingStep> Dispatcher::SortedWaitingSteps(
     const Input& in,
     StepTimeCache& step_times,
-    const std::set<std::string>& guaranteed_jobs) const {
+    const std::set<std::string>& guaranteed_jobs,
+    const std::vector<QueueChanged>& changed_queues) const {
   std::vector<WaitingStep> out;
   for (const std::string& id : in.ledger.open_jobs()) {
     const LedgerJob& job = in.ledger.jobs().at(id);
-    AppendWaitingSteps(in, job, step_times.Of(job), out);
+    // The next plan starts the tasks of a changed queue, by its new terms.
+    const bool is_changing =
+        std::any_of(changed_queues.begin(), changed_queues.end(),
+                    [&](const QueueChanged& c) {
+                      return c.before.service != c.after.service &&
+                             c.before == QueueOf(job.request);
+                    });
+    if (!is_changing) {
+      AppendWaitingSteps(in, job, step_times.Of(job), out);
+    }
   }
   for (WaitingStep& step : out) {
     step.first.is_guaranteed =
@@ -295,6 +305,35 @@
   return out;
 }
 
+std::vector<QueueChanged> Dispatcher::FindChangedQueues(const Input& in) {
+  std::vector<QueueChanged> out;
+  if (!in.rules.loaded || in.rules.rules.version < in.ledger.rules_version()) {
+    return out;
+  }
+  std::set<JobQueue> seen;
+  const JobRequest* previous = nullptr;
+  for (const std::string& id : in.ledger.open_jobs()) {
+    const JobRequest& request = in.ledger.jobs().at(id).request;
+    const bool is_same = previous != nullptr &&
+                         previous->address == request.address &&
+                         previous->terms.queue == request.terms.queue &&
+                         previous->terms.service == request.terms.service;
+    previous = &request;
+    if (is_same || !seen.insert(QueueOf(request)).second) {
+      continue;
+    }
+    const JobQueue before = QueueOf(request);
+    const QueueRule* queue = in.rules.rules.FindQueueOf(before);
+    if (queue != nullptr && queue->job_queue() != before) {
+      out.push_back({.epoch = in.epoch,
+                     .rules_version = in.rules.rules.version,
+                     .before = before,
+                     .after = queue->job_queue()});
+    }
+  }
+  return out;
+}
+
 void Dispatcher::DeclareLostWorkers(const Input& in,
                                     std::vector<LedgerRecord>& out) const {
   for (const auto& [name, agent] : in.ledger.agents()) {
@@ -590,6 +629,8 @@
 
 std::vector<LedgerRecord> Dispatcher::Plan(const Input& in) const {
   std::vector<LedgerRecord> out;
+  const std::vector<QueueChanged> changed_queues = FindChangedQueues(in);
+  out.assign(changed_queues.begin(), changed_queues.end());
   // The units of lost workers wait from the next plan on. The others don't wait
   // for that one.
   DeclareLostWorkers(in, out);
@@ -598,7 +639,7 @@
   const std::set<std::string> guaranteed_jobs = JobsWithinGuarantee(in);
   StepTimeCache step_times(in.ledger.run_times(), options_.default_estimate);
   const std::vector<WaitingStep> waiting_steps =
-      SortedWaitingSteps(in, step_times, guaranteed_jobs);
+      SortedWaitingSteps(in, step_times, guaranteed_jobs, changed_queues);
   PlanState state(*this, in, guaranteed_jobs, step_times, table, out);
   for (const TaskRef& first : stalled_units) {
     state.search.MarkStopped(first, /*is_guaranteed=*/true);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -148,11 +148,14 @@
   bool IsQuarantined(const Input& in,
                      const LedgerAgent& agent,
                      const LedgerWorker& worker) const;
+  // Queues of open jobs that the rules have changed.
+  static std::vector<QueueChanged> FindChangedQueues(const Input& in);
   // In scheduling order.
   std::vector<WaitingStep> SortedWaitingSteps(
       const Input& in,
       StepTimeCache& step_times,
-      const std::set<std::string>& guaranteed_jobs) const;
+      const std::set<std::string>& guaranteed_jobs,
+      const std::vector<QueueChanged>& changed_queues) const;
   void AppendWaitingSteps(const Input& in,
                           const LedgerJob& job,
                           const StepTimes& run_times,
--- a/src/dispatch/fair_share.cc
+++ b/src/dispatch/fair_share.cc
@@ -93,7 +93,9 @@
   }
 }
 
-void AddRunningUnits(const LedgerJob& job, ServiceUse& service) {
+void AddRunningUnits(const Ledger& ledger,
+                     const LedgerJob& job,
+                     ServiceUse& service) {
   AccountUse& account = service.accounts[job.request.account];
   for (const std::vector<StepState>& occurrence : job.occurrences) {
     for (std::size_t s = 0; s < occurrence.size(); ++s) {
@@ -103,7 +105,8 @@
       }
       std::int64_t members = 0;
       for (const RunUnit& unit : occurrence[s].units) {
-        members += unit.phase == RunUnit::Phase::kRunning
+        members += unit.phase == RunUnit::Phase::kRunning &&
+                           ledger.IsAtServiceOfJob(job, unit)
                        ? unit.unfinished_members
                        : 0;
       }
@@ -195,7 +198,7 @@
     const LedgerJob& job = ledger.jobs().at(id);
     const auto service = services.find(job.request.terms.service);
     if (job.running_units > 0 && service != services.end()) {
-      AddRunningUnits(job, service->second);
+      AddRunningUnits(ledger, job, service->second);
     }
   }
   AddCapacity(ledger, rules, services);
--- a/src/explain/explain_json.cc
+++ b/src/explain/explain_json.cc
@@ -53,6 +53,7 @@
     return;
   }
   job.terms = queue->terms;
+  job.address = queue->address();
   if (job.account.empty() && queue->anonymous) {
     return;
   }
--- a/src/jobs/ended_jobs_snapshot.cc
+++ b/src/jobs/ended_jobs_snapshot.cc
@@ -23,7 +23,7 @@
     const Key key(request.account, terms.queue, terms.service, terms.priority,
                   terms.max_attempts, terms.stretch, terms.target,
                   recurrence.occurrence_count, recurrence.first_due_unix_ms,
-                  recurrence.interval_ms);
+                  recurrence.interval_ms, request.address);
     const auto number = static_cast<std::int32_t>(kinds_.size()) + 1;
     const auto [it, is_new] = numbers_.try_emplace(key, number);
     if (is_new) {
@@ -51,7 +51,8 @@
                          Duration,
                          std::int32_t,
                          std::int64_t,
-                         std::int64_t>;
+                         std::int64_t,
+                         QueueAddress>;
 
   std::map<Key, std::int32_t> numbers_;
   std::vector<const JobRequest*> kinds_;
--- a/src/jobs/job_request.cc
+++ b/src/jobs/job_request.cc
@@ -25,11 +25,11 @@
   return true;
 }
 
-// Names and dependencies, about as long as they are in a record of the log.
+// Names and dependencies that the client chooses, about as long as they are in
+// a record of the log.
 std::size_t NameBytes(const JobRequest& request) {
   constexpr std::size_t kBytesPerDependency = 5;
-  std::size_t bytes = request.id.size() + request.account.size() +
-                      request.terms.queue.size() + request.terms.service.size();
+  std::size_t bytes = request.id.size() + request.account.size();
   for (const JobStep& step : request.steps) {
     bytes += step.required_label.size() + step.data_rack.size() +
              step.image.size() + step.after.size() * kBytesPerDependency;
--- a/src/jobs/job_request.h
+++ b/src/jobs/job_request.h
@@ -62,8 +62,17 @@
   friend bool operator==(const Recurrence&, const Recurrence&) = default;
 };
 
-// Queue settings, copied into the job when it is accepted, so that a later
-// configuration does not change it.
+// Where clients reach a queue. Together with its id it names a job.
+struct QueueAddress {
+  std::string host;
+  std::string path_prefix;
+
+  friend auto operator<=>(const QueueAddress&, const QueueAddress&) = default;
+};
+
+// Queue settings, copied into the job when it is accepted. A later
+// configuration does not change them, but for the name and the service: see
+// QueueChanged.
 struct QueueTerms {
   std::string queue;              // Queue name.
   std::string service;            // Service whose workers run the tasks.
@@ -84,6 +93,7 @@
   std::vector<JobStep> steps;  // At least one.
   Recurrence recurrence;
   QueueTerms terms;
+  QueueAddress address;  // Empty: accepted by an earlier version.
 
   friend bool operator==(const JobRequest&, const JobRequest&) = default;
 };
--- a/src/jobs/job_snapshot.cc
+++ b/src/jobs/job_snapshot.cc
@@ -207,6 +207,7 @@
   out.setPhase(static_cast<std::uint8_t>(in.phase));
   out.setOrder(in.sequence_number);
   out.setBegun(in.has_begun);
+  out.setHasMoved(in.has_moved);
   const auto runs = FindRuns(in.occurrences);
   auto to = out.initOccurrenceRuns(static_cast<unsigned>(runs.size()));
   unsigned n = 0;
@@ -222,6 +223,7 @@
   out.request = FromWire(in.getJob());
   out.phase = static_cast<JobPhase>(in.getPhase());
   out.has_begun = in.getBegun();
+  out.has_moved = in.getHasMoved();
   out.sequence_number = in.getOrder();
   out.first_seen_at = now;
   out.occurrences = ReadOccurrences(in.getOccurrenceRuns());
--- a/src/jobs/ledger.capnp
+++ b/src/jobs/ledger.capnp
@@ -43,6 +43,16 @@
   maxAttempts @10 : Int32;
   stretch @11 : Float64;
   targetMs @12 : Int64;
+#Both empty : submitted through an earlier version.
+  host @13 : Text;
+  pathPrefix @14 : Text;
+}
+#A queue, as jobs know it.
+struct QueueRef {
+  host @0 : Text;
+  pathPrefix @1 : Text;
+  queue @2 : Text;
+  service @3 : Text;
 }
 
 struct Life {
@@ -89,10 +99,10 @@
     agentBeat : group {
       agent @2 : Text;
       process @37 : Text;
-      # The worker that this process has heard. Empty id: none.
+#The worker that this process has heard.Empty id : none.
       heard @39 : Life;
-      # Age of its last sign of life. -1: an agent of a version that does not
-      # say.
+#Age of its last sign of life.- 1 : an agent of a version that does not
+#say.
       heardAgoMs @40 : Int64 = -1;
     }
     workerReported @3 : Worker;
@@ -105,7 +115,7 @@
       suspects @42 : List(RunRef);
       process @43 : Text;
       statement @44 : Int64;
-      # Empty: all runs of the worker.
+#Empty : all runs of the worker.
       runs @47 : List(RunRef);
     }
     plannerElected : group {
@@ -154,6 +164,12 @@
       checkpoint @36 : Text;
       projectedMs @46 : Int64;
     }
+    queueChanged : group {
+      epoch @48 : Int64;
+      rulesVersion @49 : Int64;
+      before @50 : QueueRef;
+      after @51 : QueueRef;
+    }
   }
 }
 
@@ -187,14 +203,12 @@
   agent @0 : Text;
   workers @1 : Int32;
 }
-
-# Equal units in a row.
+#Equal units in a row.
 struct UnitRun {
   unit @0 : Unit;
   count @1 : Int32;
 }
-
-# Equal occurrences in a row; the units of each step.
+#Equal occurrences in a row; the units of each step.
 struct OccurrenceRun {
   steps @0 : List(List(UnitRun));
   count @1 : Int32;
@@ -204,17 +218,17 @@
   job @0 : Job;
   phase @1 : UInt8;
   order @2 : Int64;
-  # Of snapshots of an earlier version.
+#Of snapshots of an earlier version.
   occurrences @3 : List(List(List(Unit)));
   begun @4 : Bool;
   occurrenceRuns @5 : List(OccurrenceRun);
+  hasMoved @6 : Bool;
 }
-
-# A job that has ended, in the order of the ends.
+#A job that has ended, in the order of the ends.
 struct EndedJob {
   id @0 : Text;
-  # Position from 1 in the snapshot's list of kinds. 0: only the place in the
-  # order is known.
+#Position from 1 in the snapshot's list of kinds. 0: only the place in the
+#order is known.
   kind @1 : Int32;
   phase @2 : UInt8;
   begun @3 : Bool;
@@ -232,9 +246,9 @@
   percent @7 : Int32;
   stalled @8 : Bool;
   agentProcess @9 : Text;
-  # The payload is the one of the job.
+#The payload is the one of the job.
   hasPayloadOfJob @10 : Bool;
-  # Position from 1 in the snapshot's list of payloads. 0: not there.
+#Position from 1 in the snapshot's list of payloads. 0: not there.
   payloadNumber @11 : Int32;
   projectedMs @12 : Int64;
 }
@@ -323,14 +337,15 @@
   accepted @8 : Int64;
   entries @9 : List(EntryRelay);
   runTimes @10 : RunTimes;
-  # In place of `position`, which is -1: an earlier version, which would take
-  # the jobs for malformed and drop them, then refuses the whole snapshot.
-  # Negative: a snapshot of an earlier version.
+#In place of `position`, which is - 1 : an earlier version, which would take
+#the jobs for malformed and drop them, then refuses the whole snapshot.
+#Negative : a snapshot of an earlier version.
   compactPosition @11 : Int64 = -1;
-  # Of runs whose job has another payload, or none any more.
+#Of runs whose job has another payload, or none any more.
   payloads @12 : List(Text);
-  # In place of `jobs` and `endedOrder`.
+#In place of `jobs` and `endedOrder`.
   endedJobs @13 : List(EndedJob);
-  # What ended jobs have in common: all but the id.
+#What ended jobs have in common : all but the id.
   endedKinds @14 : List(Job);
+  rulesVersion @15 : Int64;
 }
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -85,13 +85,26 @@
   return it == agents_.end() ? nullptr : &it->second;
 }
 
-std::int32_t Ledger::QueuedJobCount(const std::string& queue) const {
-  return static_cast<std::int32_t>(
-      std::count_if(open_jobs_.begin(), open_jobs_.end(), [&](const auto& id) {
-        const LedgerJob& job = jobs_.at(id);
-        return job.phase == JobPhase::kQueued &&
-               job.request.terms.queue == queue;
-      }));
+std::map<JobQueue, std::int32_t> Ledger::QueuedJobCounts() const {
+  std::map<JobQueue, std::int32_t> out;
+  for (const std::string& id : open_jobs_) {
+    const LedgerJob& job = jobs_.at(id);
+    if (job.phase == JobPhase::kQueued) {
+      ++out[QueueOf(job.request)];
+    }
+  }
+  return out;
+}
+
+bool Ledger::IsAtServiceOfJob(const LedgerJob& job, const RunUnit& unit) const {
+  return !job.has_moved || std::any_of(unit.members.begin(), unit.members.end(),
+                                       [&](const MemberPlace& m) {
+                                         const LedgerWorker* worker =
+                                             FindWorker(m.incarnation);
+                                         return worker != nullptr &&
+                                                worker->report.service ==
+                                                    job.request.terms.service;
+                                       });
 }
 
 bool Ledger::IsReady(const LedgerJob& job,
@@ -138,6 +151,7 @@
   out.planner_epoch_ = planner_epoch_;
   out.planner_last_seen_at_ = planner_last_seen_at_;
   out.accepted_count_ = accepted_count_;
+  out.rules_version_ = rules_version_;
   out.last_record_at_ = last_record_at_;
   out.listening_time_ = listening_time_;
   return out;
@@ -477,6 +491,29 @@
   return true;
 }
 
+bool Ledger::ApplyRecord(Time /*now*/, const QueueChanged& r) {
+  if (r.epoch != planner_epoch_ || r.rules_version < rules_version_) {
+    return false;
+  }
+  rules_version_ = r.rules_version;
+  bool has_jobs = false;
+  for (const std::string& id : open_jobs_) {
+    LedgerJob& job = jobs_.at(id);
+    if (QueueOf(job.request) != r.before) {
+      continue;
+    }
+    job.has_moved = job.has_moved || r.before.service != r.after.service;
+    job.request.address = r.after.address;
+    job.request.terms.queue = r.after.queue;
+    job.request.terms.service = r.after.service;
+    has_jobs = true;
+  }
+  if (has_jobs) {
+    run_times_.OnQueueRenamed(r.before.queue, r.after.queue);
+  }
+  return has_jobs;
+}
+
 std::int32_t Ledger::CrashedWorkers(const TaskRef& task) const {
   const RunUnit* unit = FindUnit(task);
   if (unit == nullptr) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -60,6 +60,9 @@
   // A worker has begun a run: its agent has recorded an end of one, or has
   // observed one. Starts that were refused or lost with the agent do not count.
   bool has_begun = false;
+  // Its queue has moved to another service: runs from before may still be at
+  // work on workers of that one.
+  bool has_moved = false;
   std::int32_t running_units = 0;
   // Position among all accepted jobs, from 1.
   std::int64_t sequence_number = 0;
@@ -198,8 +201,13 @@
 
   // Jobs that have ended since this process started to replay.
   std::int64_t ended_jobs() const { return ended_count_; }
-  // Jobs of a queue of which no worker has begun a task.
-  std::int32_t QueuedJobCount(const std::string& queue) const;
+  // Jobs of which no worker has begun a task, by queue.
+  std::map<JobQueue, std::int32_t> QueuedJobCounts() const;
+  // Of the newest configuration that open jobs have followed.
+  std::int64_t rules_version() const { return rules_version_; }
+  // True if the unit runs on workers of the job's present service. False: its
+  // queue has moved since it was started.
+  bool IsAtServiceOfJob(const LedgerJob& job, const RunUnit& unit) const;
   // True if every step that this one depends on is done.
   static bool IsReady(const LedgerJob& job,
                       std::size_t occurrence,
@@ -221,6 +229,7 @@
   bool ApplyRecord(Time now, const TaskEnded& r);
   bool ApplyRecord(Time now, const StartRefused& r);
   bool ApplyRecord(Time now, const RunObserved& r);
+  bool ApplyRecord(Time now, const QueueChanged& r);
 
   // Returns false if the heartbeat is a delayed one of a process that was
   // replaced.
@@ -297,6 +306,7 @@
   std::int64_t planner_epoch_ = 0;
   Time planner_last_seen_at_{0};
   std::int64_t accepted_count_ = 0;
+  std::int64_t rules_version_ = 0;
   std::int64_t ended_count_ = 0;  // Not replicated.
   // When the last record was read, and the listening time then. Not replicated.
   // 0: no record yet.
--- a/src/jobs/ledger_codec.cc
+++ b/src/jobs/ledger_codec.cc
@@ -122,6 +122,13 @@
   w.setCheckpoint(r.checkpoint);
   w.setProjectedMs(r.projected_run_time.count());
 }
+void WriteRecord(const QueueChanged& r, WireRecord::Builder out) {
+  auto w = out.initQueueChanged();
+  w.setEpoch(r.epoch);
+  w.setRulesVersion(r.rules_version);
+  ToWire(r.before, w.initBefore());
+  ToWire(r.after, w.initAfter());
+}
 
 std::optional<LedgerRecord> ReadRecord(WireRecord::Reader in) {
   switch (in.which()) {
@@ -204,6 +211,13 @@
                          .checkpoint = FromWire(w.getCheckpoint()),
                          .projected_run_time = Duration(w.getProjectedMs())};
     }
+    case WireRecord::QUEUE_CHANGED: {
+      const auto w = in.getQueueChanged();
+      return QueueChanged{.epoch = w.getEpoch(),
+                          .rules_version = w.getRulesVersion(),
+                          .before = FromWire(w.getBefore()),
+                          .after = FromWire(w.getAfter())};
+    }
   }
   return std::nullopt;
 }
--- a/src/jobs/ledger_record.cc
+++ b/src/jobs/ledger_record.cc
@@ -15,6 +15,12 @@
   return out;
 }
 
+JobQueue QueueOf(const JobRequest& request) {
+  return {.address = request.address,
+          .queue = request.terms.queue,
+          .service = request.terms.service};
+}
+
 bool DropCheckpoint(LedgerRecord& record) {
   return std::visit(
       [](auto& r) {
--- a/src/jobs/ledger_record.h
+++ b/src/jobs/ledger_record.h
@@ -220,6 +220,26 @@
   friend bool operator==(const RunObserved&, const RunObserved&) = default;
 };
 
+// What open jobs know of their queue.
+struct JobQueue {
+  QueueAddress address;
+  std::string queue;
+  std::string service;
+  friend auto operator<=>(const JobQueue&, const JobQueue&) = default;
+};
+JobQueue QueueOf(const JobRequest& request);
+
+// Decision of the planner: a configuration has renamed the queue of open jobs,
+// or has moved it to another service or address. The jobs follow it: their
+// tasks start there from now on. Runs go on where they are.
+struct QueueChanged {
+  std::int64_t epoch = 0;
+  std::int64_t rules_version = 0;  // Of the configuration. Never falls.
+  JobQueue before;                 // Of the jobs that it is about.
+  JobQueue after;
+  friend bool operator==(const QueueChanged&, const QueueChanged&) = default;
+};
+
 using LedgerRecord = std::variant<JobSubmitted,
                                   JobCancelled,
                                   AgentHeartbeat,
@@ -232,7 +252,8 @@
                                   RunStopped,
                                   TaskEnded,
                                   StartRefused,
-                                  RunObserved>;
+                                  RunObserved,
+                                  QueueChanged>;
 
 // Removes the checkpoint, which is the one part of a record that the task can
 // do without: it starts from the beginning. Returns false if there is none.
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -250,6 +250,7 @@
   out.setPlanner(ledger.planner_);
   out.setPlannerEpoch(ledger.planner_epoch_);
   out.setAccepted(ledger.accepted_count_);
+  out.setRulesVersion(ledger.rules_version_);
   RunTimeSnapshot::Write(ledger.run_times_, out.initRunTimes());
   return ledger_wire::ToPackedBytes(message);
 }
@@ -304,6 +305,7 @@
     ledger.planner_epoch_ = in.getPlannerEpoch();
     ledger.planner_last_seen_at_ = now;
     ledger.accepted_count_ = in.getAccepted();
+    ledger.rules_version_ = in.getRulesVersion();
     ledger.run_times_ = RunTimeSnapshot::Read(now, in.getRunTimes());
   });
   if (exception != nullptr || out.position < 0 || out.position > kMaxCounter ||
--- a/src/jobs/ledger_wire.cc
+++ b/src/jobs/ledger_wire.cc
@@ -82,6 +82,15 @@
   out.setMaxAttempts(in.terms.max_attempts);
   out.setStretch(in.terms.stretch);
   out.setTargetMs(in.terms.target.count());
+  out.setHost(in.address.host);
+  out.setPathPrefix(in.address.path_prefix);
+}
+
+void ToWire(const JobQueue& in, QueueRef::Builder out) {
+  out.setHost(in.address.host);
+  out.setPathPrefix(in.address.path_prefix);
+  out.setQueue(in.queue);
+  out.setService(in.service);
 }
 
 void ToWire(const WorkerIncarnation& in, Life::Builder out) {
@@ -144,6 +153,8 @@
                 .max_attempts = in.getMaxAttempts(),
                 .stretch = in.getStretch(),
                 .target = Duration(in.getTargetMs())},
+      .address = {.host = FromWire(in.getHost()),
+                  .path_prefix = FromWire(in.getPathPrefix())},
   };
   for (const auto step : in.getSteps()) {
     out.steps.push_back(FromWire(step));
@@ -151,6 +162,13 @@
   return out;
 }
 
+JobQueue FromWire(QueueRef::Reader in) {
+  return {.address = {.host = FromWire(in.getHost()),
+                      .path_prefix = FromWire(in.getPathPrefix())},
+          .queue = FromWire(in.getQueue()),
+          .service = FromWire(in.getService())};
+}
+
 WorkerIncarnation FromWire(Life::Reader in) {
   return {.id = FromWire(in.getId()), .started_at_unix_ms = in.getBornMs()};
 }
--- a/src/jobs/ledger_wire.h
+++ b/src/jobs/ledger_wire.h
@@ -15,6 +15,7 @@
 
 void ToWire(marjoramplank::Resources in, Resources::Builder out);
 void ToWire(const JobRequest& in, Job::Builder out);
+void ToWire(const JobQueue& in, QueueRef::Builder out);
 void ToWire(const WorkerIncarnation& in, Life::Builder out);
 void ToWire(const TaskRef& in, Task::Builder out);
 void ToWire(const WorkerReported& in, Worker::Builder out);
@@ -23,6 +24,7 @@
 
 marjoramplank::Resources FromWire(Resources::Reader in);
 JobRequest FromWire(Job::Reader in);
+JobQueue FromWire(QueueRef::Reader in);
 WorkerIncarnation FromWire(Life::Reader in);
 TaskRef FromWire(Task::Reader in);
 WorkerReported FromWire(Worker::Reader in);
--- a/src/jobs/record_limits.cc
+++ b/src/jobs/record_limits.cc
@@ -75,6 +75,11 @@
   return Check(r.incarnation) && Check(r.task);
 }
 
+bool Check(const QueueChanged& r) {
+  return IsInRange(r.epoch, 0, kMaxCounter) &&
+         IsInRange(r.rules_version, 0, kMaxCounter);
+}
+
 }  // namespace
 
 bool IsWithinLimits(const LedgerRecord& record) {
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -351,6 +351,14 @@
           .With("run", r->run)
           .With("cause", ToString(r->cause))
           .With("position", position);
+    } else if (const auto* r = std::get_if<QueueChanged>(&record)) {
+      LogEvent("decide_queue_change")
+          .With("rules_version", r->rules_version)
+          .With("queue", r->before.queue)
+          .With("service", r->before.service)
+          .With("queue_after", r->after.queue)
+          .With("service_after", r->after.service)
+          .With("position", position);
     }
   }
 }
--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -81,6 +81,7 @@
                      .reason = "no client account has this key"};
     return out;
   }
+  out.rules = view;
   out.queue = *queue;
   out.account = account == nullptr ? "" : account->name;
   out.job = call.path.substr(queue->path_prefix.size());
@@ -131,7 +132,8 @@
   }
   JobRequest request{.id = admission.job,
                      .account = admission.account,
-                     .terms = admission.queue.terms};
+                     .terms = admission.queue.terms,
+                     .address = admission.queue.address()};
   std::vector<std::string> faults = parse_body(request);
   if (faults.empty()) {
     faults = CheckJobRequest(request);
@@ -231,7 +233,12 @@
 ClientResponse JobService::StatusOf(const Ledger& ledger,
                                     const Admission& admission) {
   if (admission.job.empty()) {
-    return {.waiting_jobs = ledger.QueuedJobCount(admission.queue.terms.queue)};
+    std::int32_t waiting_jobs = 0;
+    for (const auto& [queue, count] : ledger.QueuedJobCounts()) {
+      waiting_jobs +=
+          admission.rules->rules.IsQueueOf(admission.queue, queue) ? count : 0;
+    }
+    return {.waiting_jobs = waiting_jobs};
   }
   const LedgerJob* job = ledger.FindJob(admission.job);
   if (job == nullptr ||
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -90,6 +90,7 @@
  private:
   struct Admission {
     ClientResponse rejection;  // Kind kOk if the request is admitted.
+    std::shared_ptr<const RulesView> rules;  // By which it is admitted.
     QueueRule queue;
     std::string account;
     std::string job;
--- a/src/rules/rules.cc
+++ b/src/rules/rules.cc
@@ -19,6 +19,26 @@
   return longest_match;
 }
 
+const QueueRule* Rules::FindQueueOf(const JobQueue& job) const {
+  const bool has_address = job.address != QueueAddress();
+  const QueueRule* same_name = nullptr;
+  for (const QueueRule& q : queues) {
+    if (has_address && q.address() == job.address) {
+      return &q;
+    }
+    same_name = q.terms.queue == job.queue ? &q : same_name;
+  }
+  return same_name;
+}
+
+bool Rules::IsQueueOf(const QueueRule& queue, const JobQueue& job) const {
+  const QueueRule* now = FindQueueOf(job);
+  // A job of an earlier version whose queue has no such name any more may have
+  // come through any: its id has to do.
+  return now == nullptr ? job.address == QueueAddress()
+                        : now->address() == queue.address();
+}
+
 const AccountRule* Rules::FindAccountByKey(const std::string& key) const {
   const auto it =
       std::find_if(accounts.begin(), accounts.end(),
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "src/jobs/job_request.h"
+#include "src/jobs/ledger_record.h"
 
 namespace marjoramplank {
 
@@ -18,6 +18,14 @@
   QueueTerms terms;         // Copied into each accepted job.
   bool anonymous = false;   // True: no API key is required.
 
+  QueueAddress address() const {
+    return {.host = host, .path_prefix = path_prefix};
+  }
+  JobQueue job_queue() const {
+    return {
+        .address = address(), .queue = terms.queue, .service = terms.service};
+  }
+
   friend bool operator==(const QueueRule&, const QueueRule&) = default;
 };
 
@@ -49,6 +57,12 @@
   // Returns the queue with the longest matching path prefix, or null.
   const QueueRule* FindQueue(const std::string& host,
                              const std::string& path) const;
+  // The queue of an accepted job: the one that has its address now. If there is
+  // none, the one that has its queue's name, as it may have got another
+  // address, or the job none yet. Null: the queue was removed.
+  const QueueRule* FindQueueOf(const JobQueue& job) const;
+  // Whether clients reach the job through this queue.
+  bool IsQueueOf(const QueueRule& queue, const JobQueue& job) const;
   // Null: no account has this key.
   const AccountRule* FindAccountByKey(const std::string& key) const;
   // Null: no account has this name.
--- a/src/run_times/run_time_model.cc
+++ b/src/run_times/run_time_model.cc
@@ -111,6 +111,15 @@
   return job + "." + std::to_string(step) + (is_remote ? ".remote" : "");
 }
 
+void RunTimeModel::OnQueueRenamed(const std::string& before,
+                                  const std::string& after) {
+  const auto it = queues_.find(before);
+  if (it != queues_.end() && queues_.size() < kMaxQueues) {
+    const Queue learned = it->second;
+    queues_.try_emplace(after, learned);
+  }
+}
+
 void RunTimeModel::Add(Time now, const Sample& sample) {
   if (sample.run_time <= Duration(0) || sample.run_time > kMaxDuration ||
       (!queues_.contains(sample.queue) && queues_.size() >= kMaxQueues)) {
--- a/src/run_times/run_time_model.h
+++ b/src/run_times/run_time_model.h
@@ -59,6 +59,9 @@
   Duration Pessimistic(const JobRequest& request,
                        std::size_t step,
                        Duration default_estimate) const;
+  // The queue goes on under another name: so does what was learned of it.
+  void OnQueueRenamed(const std::string& before, const std::string& after);
+
   // True if runs of this step, or of enough others of its queue, have been
   // seen.
   bool IsLearned(const JobRequest& request, std::size_t step) const;
--- a/tests/unit/waiting_jobs_test.cc
+++ b/tests/unit/waiting_jobs_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "src/jobs/ledger.h"
 #include "src/jobs/ledger_snapshot.h"
 
@@ -45,7 +47,11 @@
 }
 
 bool IsWaiting(const Ledger& ledger) {
-  const bool is_counted = ledger.QueuedJobCount("q") == 1;
+  const std::map<JobQueue, std::int32_t> counts = ledger.QueuedJobCounts();
+  const auto of_queue =
+      std::find_if(counts.begin(), counts.end(),
+                   [](const auto& entry) { return entry.first.queue == "q"; });
+  const bool is_counted = of_queue != counts.end() && of_queue->second == 1;
   CHECK((ledger.FindJob("j")->phase == JobPhase::kQueued) == is_counted);
   return is_counted;
 }
