Changed queues: a job is named by its queue's address and its id

Clients name a job by host, prefix and id.

Cancellations ask the same, where they asked nothing, so another queue's or account's job is neither shown nor cancelled.

--- a/src/node/job_service.cc
+++ b/src/node/job_service.cc
@@ -230,6 +230,16 @@
   return response;
 }
 
+bool JobService::Names(const Admission& admission, const JobRequest& job) {
+  const Rules& rules = admission.rules->rules;
+  // Keys of an account that was removed may belong to its successor.
+  const bool is_of_other_account = !admission.account.empty() &&
+                                   !job.account.empty() &&
+                                   job.account != admission.account &&
+                                   rules.FindAccount(job.account) != nullptr;
+  return !is_of_other_account && rules.IsQueueOf(admission.queue, QueueOf(job));
+}
+
 ClientResponse JobService::StatusOf(const Ledger& ledger,
                                     const Admission& admission) {
   if (admission.job.empty()) {
@@ -241,8 +251,7 @@
     return {.waiting_jobs = waiting_jobs};
   }
   const LedgerJob* job = ledger.FindJob(admission.job);
-  if (job == nullptr ||
-      job->request.terms.queue != admission.queue.terms.queue) {
+  if (job == nullptr || !Names(admission, job->request)) {
     return {.kind = ClientResponse::Kind::kJobNotFound,
             .reason = "no such job"};
   }
@@ -258,6 +267,21 @@
     return {.kind = ClientResponse::Kind::kBadRequest,
             .reason = "no job is named"};
   }
+  // One that is not known yet may be cancelled ahead of its submission.
+  const bool is_foreign =
+      ledger_.Read([&](const Ledger& ledger, const LedgerView&) {
+        const LedgerJob* job = ledger.FindJob(admission.job);
+        return job != nullptr && !Names(admission, job->request);
+      });
+  if (is_foreign) {
+    LogEvent("cancel_refused")
+        .With("job", admission.job)
+        .With("queue", admission.queue.terms.queue)
+        .With("account", admission.account)
+        .With("reason", "the job is of another queue or account");
+    return {.kind = ClientResponse::Kind::kJobNotFound,
+            .reason = "no such job"};
+  }
   const LedgerWriter::Outcome outcome = writer_.AppendAndWait(
       JobCancelled{.job = admission.job}, AppendDeadline(call));
   LogEvent("cancel")
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -96,6 +96,9 @@
     std::string job;
   };
   Admission Admit(const ClientRequest& call) const;
+  // Whether the request names the job: by its id, through its queue, and with a
+  // key of its client account.
+  static bool Names(const Admission& admission, const JobRequest& job);
   static ClientResponse StatusOf(const Ledger& ledger,
                                  const Admission& admission);
   ClientResponse RejectWithRetry(const std::string& reason,
--- a/tests/unit/admission_gate_test.cc
+++ b/tests/unit/admission_gate_test.cc
@@ -95,7 +95,12 @@
                              .max_attempts = 2,
                              .stretch = 3,
                              .target = 1s},
-                   .anonymous = true}};
+                   .anonymous = true},
+                  {.host = "h",
+                   .path_prefix = "/k/",
+                   .terms = {.queue = "k", .service = "s"}}};
+  rules.accounts = {{.name = "a", .keys = {"key-a"}},
+                    {.name = "b", .keys = {"key-b"}}};
   return rules;
 }
 
@@ -262,5 +267,53 @@
   CHECK(entry.Submit("other").kind == Kind::kNotRun);
 }
 
+// Guards against accepted jobs that are answered as unknown once their queue
+// has another name, and against jobs of others that are shown or cancelled.
+TEST_CASE("a job is named by its queue's address and its id",
+          "[changed_queue]") {
+  Entry entry;
+  const auto accept = [&](const std::string& id, const std::string& queue,
+                          const std::string& path_prefix) {
+    entry.log.Append(JobSubmitted{
+        .request = {.id = id,
+                    .account = "a",
+                    .payload = "p",
+                    .steps = {{}},
+                    .terms = {.queue = queue, .service = "s"},
+                    .address = {.host = "h", .path_prefix = path_prefix}}});
+    REQUIRE(entry.ledger.WaitForPosition(std::ssize(entry.log.records), 10s));
+  };
+  const auto call = [](const std::string& path, const std::string& key = "") {
+    return ClientRequest{.host = "h",
+                         .path = path,
+                         .api_key = key,
+                         .received_at = BootClockNow()};
+  };
+
+  SECTION("whatever its name was when the job was accepted") {
+    accept("j", "name-before", "/q/");
+    CHECK(entry.service.GetStatus(call("/q/j")).kind == Kind::kOk);
+    CHECK(entry.service.GetStatus(call("/q/")).waiting_jobs == 1);
+    CHECK(entry.service.Cancel(call("/q/j")).kind == Kind::kOk);
+  }
+  SECTION("not by its id alone, also for a cancellation") {
+    accept("j", "k", "/k/");
+    const std::size_t stored = entry.log.size();
+    CHECK(entry.service.GetStatus(call("/q/j")).kind == Kind::kJobNotFound);
+    CHECK(entry.service.Cancel(call("/q/j")).kind == Kind::kJobNotFound);
+    CHECK(entry.log.size() == stored);
+  }
+  SECTION("nor with a key of another account") {
+    accept("j", "k", "/k/");
+    CHECK(entry.service.GetStatus(call("/k/j", "key-a")).kind == Kind::kOk);
+    for (const ClientResponse& response :
+         {entry.service.GetStatus(call("/k/j", "key-b")),
+          entry.service.Cancel(call("/k/j", "key-b"))}) {
+      CHECK(response.kind == Kind::kJobNotFound);
+    }
+    CHECK(entry.service.Cancel(call("/k/j", "key-a")).kind == Kind::kOk);
+  }
+}
+
 }  // namespace
 }  // namespace marjoramplank
