--- a/src/store/snapshot_store.cc
+++ b/src/store/snapshot_store.cc
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxPartBytes = 192 * 1024;  // Records: up to 256 KiB.
-constexpr std::size_t kMaxPartsPerCall = 8;        // Calls: up to 2 MiB.
+constexpr std::size_t kMinPartBytes = 12 * 1024;  // Records: up to 16 KiB.
+constexpr std::size_t kMaxPartsPerCall = 8;       // Calls: up to 2 MiB.
 // A key with a higher number is not a part that an entry has written.
 constexpr std::size_t kMaxParts = 100'000;
 // Of a larger snapshot; the next write to the slot deletes more.
@@ -100,24 +100,39 @@
   counts_[slot] = count;
 }
 
-bool WriteSnapshot(LogStore& store,
-                   const LogPartition& to,
-                   const std::string& bytes,
-                   std::int64_t position,
-                   SnapshotParts& known_parts) {
-  // Atomic: the planner thread and, after a gap, the follower's thread write.
-  static std::atomic<unsigned> snapshots_written{0};
-  const char slot = snapshots_written++ % 2 == 0 ? 'b' : 'a';
-  known_parts.AddUpTo(slot, (bytes.size() + kMaxPartBytes - 1) / kMaxPartBytes);
+std::size_t SnapshotParts::max_part_bytes() const {
+  const std::lock_guard lock(mutex_);
+  return max_part_bytes_;
+}
+
+bool SnapshotParts::HalveMaxPartBytes() {
+  const std::lock_guard lock(mutex_);
+  if (max_part_bytes_ <= kMinPartBytes) {
+    return false;
+  }
+  max_part_bytes_ /= 2;
+  return true;
+}
+
+namespace {
+
+AppendResult WriteParts(LogStore& store,
+                        const LogPartition& to,
+                        char slot,
+                        const std::string& bytes,
+                        std::int64_t position,
+                        SnapshotParts& known_parts) {
+  const std::size_t part_bytes = known_parts.max_part_bytes();
+  known_parts.AddUpTo(slot, (bytes.size() + part_bytes - 1) / part_bytes);
   std::vector<std::string> records;
   std::size_t parts = 0;
-  for (std::size_t at = 0; at < bytes.size(); at += kMaxPartBytes) {
+  for (std::size_t at = 0; at < bytes.size(); at += part_bytes) {
     records.push_back(
-        EncodeKeyed(PartKey(slot, parts++), bytes.substr(at, kMaxPartBytes)));
+        EncodeKeyed(PartKey(slot, parts++), bytes.substr(at, part_bytes)));
     if (records.size() == kMaxPartsPerCall) {
-      if (store.Append(to, records, {}, kWriteTimeout).kind !=
-          AppendResult::Kind::kStored) {
-        return false;
+      AppendResult result = store.Append(to, records, {}, kWriteTimeout);
+      if (result.kind != AppendResult::Kind::kStored) {
+        return result;
       }
       records.clear();
     }
@@ -131,12 +146,28 @@
   for (std::size_t n = 0; n < kMaxDeletedPartsPerCall && left > parts; ++n) {
     records.push_back(EncodeKeyed(PartKey(slot, --left), ""));
   }
-  if (store.Append(to, records, {}, kWriteTimeout).kind !=
-      AppendResult::Kind::kStored) {
-    return false;
+  AppendResult result = store.Append(to, records, {}, kWriteTimeout);
+  if (result.kind == AppendResult::Kind::kStored) {
+    known_parts.Set(slot, left);
   }
-  known_parts.Set(slot, left);
-  return true;
+  return result;
+}
+
+}  // namespace
+
+bool WriteSnapshot(LogStore& store,
+                   const LogPartition& to,
+                   const std::string& bytes,
+                   std::int64_t position,
+                   SnapshotParts& known_parts) {
+  // Atomic: the planner thread and, after a gap, the follower's thread write.
+  static std::atomic<unsigned> snapshots_written{0};
+  const char slot = snapshots_written++ % 2 == 0 ? 'b' : 'a';
+  AppendResult result;
+  do {
+    result = WriteParts(store, to, slot, bytes, position, known_parts);
+  } while (result.is_too_large && known_parts.HalveMaxPartBytes());
+  return result.kind == AppendResult::Kind::kStored;
 }
 
 SnapshotLookup ReadSnapshot(LogStore& store,
--- a/tests/unit/snapshot_store_test.cc
+++ b/tests/unit/snapshot_store_test.cc
@@ -18,12 +18,16 @@
 class KeyedStore final : public LogStore {
  public:
   std::map<std::string, std::string> values;
+  std::size_t max_record_bytes = 256 * 1024;
 
   AppendResult Append(const LogPartition&,
                       const std::vector<std::string>& records,
                       const ProducerStamp&,
                       Duration) override {
     for (const std::string& r : records) {
+      if (r.size() > max_record_bytes) {
+        return {.kind = AppendResult::Kind::kRefused, .is_too_large = true};
+      }
       std::string key;
       std::string value;
       if (!DecodeKeyed(r, key, value)) {
@@ -114,5 +118,20 @@
   CHECK(store.bytes() < 2 * small.size() + 1'000);
 }
 
+// Guards against a log service that takes smaller records than others, and so
+// no snapshot at all.
+TEST_CASE("snapshot store: the parts fit into the log", "[snapshot]") {
+  KeyedStore store;
+  store.max_record_bytes = 16 * 1024;
+  SnapshotParts parts;
+  Ledger ledger;
+  for (int n = 0; n < 5'000; ++n) {
+    ledger.Apply(1s, JobCancelled{.job = "job-" + std::to_string(n)});
+  }
+  REQUIRE(
+      WriteSnapshot(store, kTopic, LedgerSnapshot::Save(ledger, 9), 9, parts));
+  CHECK(ReadSnapshot(store, kTopic, 1s, parts).snapshot.has_value());
+}
+
 }  // namespace
 }  // namespace marjoramplank
