--- a/tests/soak/runner.cc
+++ b/tests/soak/runner.cc
@@ -20,6 +20,8 @@
 constexpr std::int64_t kStepMs = 50;
 constexpr std::int64_t kProgressMs = 5000;
 constexpr std::int64_t kReadyLimitMs = 15'000;
+constexpr std::int64_t kRenameRetryMs = 300;
+constexpr int kFirstVersion = 7;  // Of the configuration.
 constexpr std::int64_t kRestartMs = 300;
 constexpr std::int64_t kLongestSettleMs = 32'000;
 
@@ -191,8 +193,8 @@
   const std::int64_t limit = SteadyMs() + kReadyLimitMs;
   bool configured = false;
   while (SteadyMs() < limit && !interrupted) {
-    configured =
-        configured || PutEntry(addresses_["store"], "config", Configuration());
+    configured = configured || PutEntry(addresses_["store"], "config",
+                                        Configuration(kFirstVersion));
     const bool ready = std::all_of(entries_.begin(), entries_.end(),
                                    [&](const std::string& entry) {
                                      return Send({.method = "GET",
@@ -244,9 +246,18 @@
        at += kProgressMs) {
     At(at, [this] { PrintProgress(); });
   }
+  At(options_.shape.length_ms / 2, [this] { RenameQueues(); });
   At(options_.shape.length_ms, [this] { Restore(); });
 }
 
+void Runner::RenameQueues() {
+  const bool stored =
+      PutEntry(addresses_["store"], "config", Configuration(kFirstVersion + 1));
+  if (!stored && !restored_) {
+    After(kRenameRetryMs, [this] { RenameQueues(); });
+  }
+}
+
 void Runner::Step() {
   while (!actions_.empty() && actions_.begin()->first <= Now()) {
     const Action action = actions_.begin()->second;
--- a/tests/soak/runner.h
+++ b/tests/soak/runner.h
@@ -69,6 +69,7 @@
   void WriteControl();
   void OnExit(const Exit& exit);
   void Submit(const Job& job);
+  void RenameQueues();  // Retried while the store does not answer.
   void Restore();
   void PrintProgress() const;
   std::string Path(const std::string& name) const;
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -16,9 +16,13 @@
 constexpr int kZones = 3;
 constexpr int kWorkersInRack = 3;
 
-Object Route(const std::string& prefix, int priority, int max_attempts) {
+Object Route(const std::string& prefix,
+             int priority,
+             int max_attempts,
+             int version) {
   Object out;
-  out.set("name", "r-" + std::to_string(priority));
+  out.set("name",
+          "r-" + std::to_string(priority) + "-" + std::to_string(version));
   out.set("host", std::string(kHost));
   out.set("pathPrefix", prefix);
   out.set("routeKind", std::string("non_idempotent"));
@@ -42,11 +46,11 @@
       .rack = "r" + std::to_string(zone + 1) + "-" + std::to_string(rack + 1)};
 }
 
-std::string Configuration() {
+std::string Configuration(int version) {
   Array routes;
-  routes.add(Route("/pule252/", 2, 2));
-  routes.add(Route("/lohu930/", 1, 2));
-  routes.add(Route("/pufi791/", 0, 3));
+  routes.add(Route("/pule252/", 2, 2, version));
+  routes.add(Route("/lohu930/", 1, 2, version));
+  routes.add(Route("/pufi791/", 0, 3, version));
   Object service;
   service.set("name", std::string(kService));
   service.set("enforcesCapacity", true);
@@ -70,7 +74,7 @@
   Array tenants;
   tenants.add(tenant);
   Object out;
-  out.set("version", 7);
+  out.set("version", version);
   out.set("routes", routes);
   out.set("services", services);
   out.set("limits", limits);
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -20,8 +20,9 @@
 
 Place PlaceOf(int number);
 
-// The operator's configuration: one queue for each priority.
-std::string Configuration();
+// The operator's configuration: one queue for each priority, with another name
+// in each version.
+std::string Configuration(int version);
 
 // The settings file of an entry or an agent.
 struct Settings {
