--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -239,6 +239,7 @@
   std::stable_sort(begun.begin(), begun.end(), is_later);
   begun.resize(std::min(begun.size(), kMaxRunsOfRecord));
   std::vector<RunRef> out;
+  out.reserve(begun.size());
   for (auto& [begun_at, run] : begun) {
     out.push_back(std::move(run));
   }
