Late starts: agents that restart again and again don't keep a task waiting

Each restart of an agent began the wait for starts in doubt anew, so a run on a worker that is gone waited for as long as its agent restarted each 12 s. Only the process that got the order can have sent the start: the wait now begins with the first process after it, and later ones add none.

property, "the worker's last heartbeat counts": a worker was not reported before the ledger had been read to its end. Instead, a claim is asked about only then if it names the next incarnation of the worker that the ledger records; all others are asked about and reported as before.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -116,20 +116,9 @@
   is_report_recorded_ = false;
 }
 
-void Supervisor::CheckRecordedWorker(Time now, const Ledger& ledger) {
-  const LedgerAgent* self = ledger.FindAgent(options_.agent);
-  const bool has_restarted = !is_record_checked_ && worker_ && !has_departed_ &&
-                             self != nullptr &&
-                             self->incarnation.id == worker_->incarnation.id &&
-                             self->incarnation != worker_->incarnation;
-  if (has_restarted) {
-    claims_.Add(now, *worker_);
-    worker_.reset();
-  }
-  is_record_checked_ = is_record_checked_ || fence_ != 0;
-  if (!worker_) {
-    AdoptRecordedWorker(now, ledger);
-  }
+bool Supervisor::FollowsRecordedWorker(const WorkerIncarnation& claim) const {
+  return !worker_ && recorded_worker_.id == claim.id &&
+         recorded_worker_ != claim;
 }
 
 void Supervisor::AdoptRecordedWorker(Time now, const Ledger& ledger) {
@@ -342,9 +331,14 @@
   if (fence_ == 0 && self != nullptr && self->process == options_.process) {
     fence_ = self->process_start_count * kFencesPerProcess;
   }
-  if (current) {
-    CheckRecordedWorker(now, ledger);
+  if (!worker_ && current) {
+    AdoptRecordedWorker(now, ledger);
   }
+  const LedgerWorker* recorded =
+      self == nullptr ? nullptr : ledger.FindWorker(self->incarnation);
+  recorded_worker_ = recorded == nullptr || recorded->incarnation_ended
+                         ? WorkerIncarnation()
+                         : self->incarnation;
   if (restart_ && current) {
     StateUnsentRuns(ledger);
   }
@@ -407,7 +401,10 @@
       run.phase = needs_resolution_ && live.agent_process != options_.process
                       ? Phase::kInDoubt
                       : Phase::kPending;
-      run.may_arrive_until = run.phase == Phase::kInDoubt
+      // Only the process that got the order can have sent the start. If two
+      // have followed it, the start is from before the first of them.
+      run.may_arrive_until = run.phase == Phase::kInDoubt &&
+                                     live.agent_process == self->process_before
                                  ? now + options_.leases.CallsArriveWithin()
                                  : Time{0};
       // The listings so far were judged without it.
@@ -614,7 +611,8 @@
   }
   const bool is_listing_due = IsListingDue(now);
   if (!is_listing_due || !was_claim_asked_) {
-    if (const auto claim = claims_.TakeDue(now)) {
+    const auto claim = claims_.TakeDue(now);
+    if (claim && !FollowsRecordedWorker(*claim)) {
       was_claim_asked_ = true;
       return HoldCall{
           .incarnation = *claim, .fence = fence_, .verifies_incarnation = true};
@@ -743,7 +741,6 @@
   const bool may_report = contact_.heard_at() != Time{0} ||
                           now - adopted_at_ > WorkerContact::kUnreachableAfter;
   if (worker_ && !has_departed_ && !is_report_recorded_ && may_report &&
-      is_record_checked_ &&
       now - report_sent_at_ >= options_.report_retry_interval) {
     report_sent_at_ = now;
     WorkerReported report = MakeWorkerReport(now);
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -179,10 +179,9 @@
   using RunKey = std::pair<TaskRef, std::int32_t>;
 
   void ResetWorkerState(Time now);
-  // At the first read to the ledger's end. If the incarnation that this process
-  // has heard has followed the recorded one under its id, that one is taken
-  // first: its runs have to be settled.
-  void CheckRecordedWorker(Time now, const Ledger& ledger);
+  // True if the claim names the next incarnation under the id of the recorded
+  // worker, before that one was adopted: its runs have to be settled first.
+  bool FollowsRecordedWorker(const WorkerIncarnation& claim) const;
   // After a restart: takes the worker that the ledger records until the worker
   // itself is heard, so that its tasks are listed at once.
   void AdoptRecordedWorker(Time now, const Ledger& ledger);
@@ -343,9 +342,9 @@
   bool is_ledger_current_ = false;
   // At some time since this incarnation of the worker was first seen.
   bool was_ledger_current_ = false;
-  // See CheckRecordedWorker(). Before, no incarnation is reported: a report
-  // ends the runs of the one that the ledger records.
-  bool is_record_checked_ = false;
+  // What the ledger records, as far as it was read. Empty id: none, or it has
+  // ended.
+  WorkerIncarnation recorded_worker_;
   // When the ledger last was current. 0: not in this process.
   Time ledger_current_at_{0};
   // The ledger has the worker's present report.
