--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -3,7 +3,7 @@
 # with the project's stand-ins for the platform's store, workers and clients.
 # Sourced by a run.sh, which has set `here` to its folder.
 
-root=${root:-$(cd "$here/../.." && pwd)}
+root=$(cd "$here/../.." && pwd)
 bin=$root/target/review-3
 site=$root/target/marjoramplank-site
 tmp=$(mktemp -d)
@@ -12,6 +12,7 @@
 TROUBLE=${TROUBLE:-1}
 declare -A pids=()   # Process ids by name.
 declare -A addr=()   # Addresses by name.
+declare -A given=()  # Ports that a name has.
 declare -A has_network=()
 way=                 # Address under which the processes know the store.
 host=nony24.example
@@ -40,14 +41,16 @@
 # One line of the record: Unix ms, source, text.
 note() { echo "$(now_ms) script $*" >>"$RECORD"; }
 
-# ports NAME...: gives each name a free loopback address.
+# ports NAME...: gives each name a free loopback address that no other name has.
 ports() {
-  local free name n=0
-  mapfile -t free < <("$bin/client" ports $#)
-  [ ${#free[@]} -eq $# ] || cannot_run "no free ports"
+  local name port
   for name in "$@"; do
-    addr[$name]=127.0.0.1:${free[n]}
-    n=$((n + 1))
+    while :; do
+      port=$("$bin/client" ports 1) || cannot_run "no free ports"
+      [ -n "${given[$port]:-}" ] || break
+    done
+    given[$port]=1
+    addr[$name]=127.0.0.1:$port
   done
 }
 
