Agents start what their predecessor ordered and their worker has not got

Cause: a process of an agent does not know whether the one before had sent a start. It settled the order under a raised token and refused it, as before, but a refused run now keeps its task from others until no start can arrive.

Change: the start is sent again from here, as the ledger still gives the run to this worker: it costs nobody a wait. A gang's member within the start window, others until the start is too old.

--- a/src/supervisor/late_starts.cc
+++ b/src/supervisor/late_starts.cc
@@ -151,7 +151,7 @@
   });
 }
 
-std::vector<RunRef> LateStarts::TakeOver(Time now) {
+std::vector<RunRef> LateStarts::TakeExpired(Time now) {
   std::vector<RunRef> out;
   for (auto& [run, start] : starts_) {
     if (!start.is_returned && (start.is_verified || now > start.ended_by)) {
--- a/src/supervisor/late_starts.h
+++ b/src/supervisor/late_starts.h
@@ -68,7 +68,7 @@
   // has not heard of.
   bool MayArrive(Time now) const;
   // The runs whose late starts are over; each is returned once.
-  std::vector<RunRef> TakeOver(Time now);
+  std::vector<RunRef> TakeExpired(Time now);
 
  private:
   struct Entry {
@@ -76,7 +76,7 @@
     Time arrives_by{0};
     bool is_at_work = false;   // By the last listing.
     bool is_verified = false;  // Not at work, and none can arrive.
-    bool is_returned = false;  // By TakeOver().
+    bool is_returned = false;  // By TakeExpired().
     Time ended_by{0};          // If nothing answers.
     Time last_stop_at{0};
   };
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -789,7 +789,7 @@
   OnRunning(now);
   // Ends come before the report of a new incarnation, which drops the runs of
   // the one before.
-  for (std::vector<RunRef>& part : SplitRuns(late_starts_.TakeOver(now))) {
+  for (std::vector<RunRef>& part : SplitRuns(late_starts_.TakeExpired(now))) {
     records_.Add(
         StartsExpired{.agent = options_.agent, .runs = std::move(part)});
   }
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -291,9 +291,10 @@
     }
     if (!WasNotCarriedOut(run, resolution_listing_)) {
       run.phase = Phase::kOnWorker;  // Its end has been listed, or will be.
-    } else if (run.starts_sent > 0 && !run.stop_requested &&
-               (now - run.ordered_at < options_.start_window ||
-                MayRetryStart(now, run))) {
+    } else if (!run.stop_requested &&
+               (MayRetryStart(now, run) ||
+                (MayStartArrive(now, run) &&
+                 now - run.ordered_at < options_.start_window))) {
       run.phase = Phase::kPending;
       if (run.may_arrive_until > now) {
         RecordUnanswered(task, run, run.may_arrive_until);
--- a/src/supervisor/supervisor_restart.cc
+++ b/src/supervisor/supervisor_restart.cc
@@ -39,7 +39,7 @@
 
 bool Supervisor::MayRetryStart(Time now, const LocalRun& run) const {
   // The other members of a gang don't wait.
-  return !run.is_gang && run.starts_sent > 0 && run.may_arrive_until > now;
+  return !run.is_gang && run.may_arrive_until > now;
 }
 
 void Supervisor::RecordUnanswered(const TaskRef& task,
--- a/tests/unit/restarted_worker_test.cc
+++ b/tests/unit/restarted_worker_test.cc
@@ -239,6 +239,32 @@
   }
 }
 
+// Guards against a task that waits until a lost start is too old, although its
+// worker lives: the run is started there by the next process of the agent.
+TEST_CASE("restarted worker: the agent ends, the worker does not have the run",
+          "[restart]") {
+  Rig rig;
+  rig.ledger.Apply(rig.now, AgentHeartbeat{.agent = "agent", .process = "p2"});
+  Supervisor successor(
+      {.agent = "agent", .process = "p2", .started_at = rig.now});
+  std::optional<StartCall> again;
+  for (int n = 0; n < 10 && !again; ++n) {
+    rig.now += 50ms;
+    successor.OnAgentHeartbeatStored(rig.now);
+    rig.Store(successor);
+    for (const TaskCommand& command : successor.TakeCommands(rig.now)) {
+      again = std::get<StartCall>(command);
+    }
+    if (const auto hold = successor.NextHold(rig.now)) {
+      successor.OnHoldReply(rig.now, *hold, rig.Listing(1000, false));
+    }
+  }
+  REQUIRE(again.has_value());
+  CHECK(again->run == rig.start.run);
+  CHECK(again->fence > rig.start.fence);
+  CHECK(rig.ledger.FindWorker(kWorker)->runs.at(kTask).start_unanswered);
+}
+
 // Guards against the same where the agent ends more than once: only the first
 // of its processes can have sent the start. And against a wait that begins anew
 // with each restart.
