Memory of a job follows what is at work, not what was accepted

Cause: the state of each unit of each occurrence was made when the job was accepted, about 270 bytes each, in every process, although neighbours are equal.

A unit gets a range of its own when it starts and joins its neighbours when it is done. A plan, the load of a service, the fair share and the end of a unit walk over ranges; a plan looks at due occurrences, and at the oldest 512 waiting steps of a job. Nothing is refused for it.

--- a/src/admission/service_load.cc
+++ b/src/admission/service_load.cc
@@ -51,9 +51,7 @@
   for (std::size_t s = 0; s < r.steps.size(); ++s) {
     out.run_times.push_back(times.Of(job, s));
     const StepState& state = job.occurrences.front()[s];
-    const bool is_done =
-        state.done_units == static_cast<std::int32_t>(state.units.size());
-    remaining.push_back(is_done ? Duration(0) : out.run_times.back());
+    remaining.push_back(state.IsDone() ? Duration(0) : out.run_times.back());
   }
   out.deadline = job.first_seen_at +
                  ScaledBy(r.terms.stretch, CriticalPath(r, out.run_times)) +
@@ -115,22 +113,23 @@
              const Ledger& ledger,
              const JobView& view,
              TaskRef task,
+             const RunLengthVector<RunUnit>& units,
              ServiceLoad& out) {
-  const auto k = static_cast<std::size_t>(task.occurrence);
   const auto s = static_cast<std::size_t>(task.step);
   const JobStep& step = view.job.request.steps[s];
-  const std::vector<RunUnit>& units = view.job.occurrences[k][s].units;
   double waiting = 0;
   double running = 0;
-  for (std::size_t u = 0; u < units.size(); ++u) {
-    const RunUnit& unit = units[u];
-    task.index = static_cast<std::int32_t>(u);
+  for (const auto range : units) {
+    const RunUnit& unit = range.value;
+    task.index = static_cast<std::int32_t>(range.first);
     if (unit.phase == RunUnit::Phase::kRunning &&
         ledger.IsAtServiceOfJob(view.job, unit)) {
       running += unit.unfinished_members *
                  SecondsLeft(now, ledger, task, unit, view.run_times[s]);
     } else if (unit.phase == RunUnit::Phase::kWaiting && view.counts_waiting) {
-      waiting += (step.gang ? step.tasks : 1) * ToSeconds(view.run_times[s]);
+      waiting += (step.gang ? step.tasks : 1) *
+                 static_cast<double>(range.count) *
+                 ToSeconds(view.run_times[s]);
     }
   }
   for (const auto& [is_running, seconds] :
@@ -161,14 +160,16 @@
     const LedgerJob& job = ledger.jobs().at(id);
     const JobView view = Describe(now, job, times);
     ServiceLoad& service = out.services[job.request.terms.service];
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    // Waiting units count for jobs of one occurrence only, and running ones are
+    // in ranges of their own.
+    for (const auto occurrences : job.occurrences) {
       for (std::size_t s = 0; s < job.request.steps.size(); ++s) {
         if (!job.request.steps[s].long_running) {
           AddStep(now, ledger, view,
                   {.job = id,
-                   .occurrence = static_cast<std::int32_t>(k),
+                   .occurrence = static_cast<std::int32_t>(occurrences.first),
                    .step = static_cast<std::int32_t>(s)},
-                  service);
+                  occurrences.value[s].units, service);
         }
       }
     }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -209,63 +209,90 @@
   return out;
 }
 
+std::optional<Time> Dispatcher::DueTime(const Input& in,
+                                        const LedgerJob& job,
+                                        std::size_t occurrence) const {
+  const Recurrence& r = job.request.recurrence;
+  if (r.occurrence_count == 0) {
+    return job.first_seen_at;
+  }
+  const Duration time_until_due(
+      r.first_due_unix_ms +
+      static_cast<std::int64_t>(occurrence) * r.interval_ms - in.unix_ms);
+  return time_until_due > options_.max_early_start
+             ? std::nullopt
+             : std::optional(
+                   std::max(job.first_seen_at, in.now + time_until_due));
+}
+
 void Dispatcher::AppendWaitingSteps(const Input& in,
                                     const LedgerJob& job,
                                     const StepTimes& run_times,
                                     std::vector<WaitingStep>& out) const {
-  const JobRequest& r = job.request;
-  const Duration objective =
-      ScaledBy(r.terms.stretch, CriticalPath(r, run_times)) + r.terms.target;
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    Time due_at = job.first_seen_at;
-    if (r.recurrence.occurrence_count > 0) {
-      const std::int64_t due_unix_ms =
-          r.recurrence.first_due_unix_ms +
-          static_cast<std::int64_t>(k) * r.recurrence.interval_ms;
-      const Duration time_until_due(due_unix_ms - in.unix_ms);
-      if (time_until_due > options_.max_early_start) {
-        continue;
+  const std::size_t limit = out.size() + options_.max_waiting_steps_of_job;
+  for (const auto range : job.occurrences) {
+    const bool is_done =
+        std::all_of(range.value.begin(), range.value.end(),
+                    [](const StepState& step) { return step.IsDone(); });
+    for (std::size_t n = 0; n < range.count && !is_done; ++n) {
+      const std::optional<Time> due_at = DueTime(in, job, range.first + n);
+      if (!due_at || out.size() >= limit) {
+        return;  // The following ones are due later.
       }
-      due_at = std::max(due_at, in.now + time_until_due);
+      AppendWaitingStepsOf(in, job, range.first + n, range.value, *due_at,
+                           run_times, out);
     }
-    for (std::size_t s = 0; s < r.steps.size(); ++s) {
-      const StepState& state = job.occurrences[k][s];
-      if (state.done_units == static_cast<std::int32_t>(state.units.size()) ||
-          !Ledger::IsReady(job, k, s)) {
-        continue;
-      }
-      const JobStep& step = r.steps[s];
-      const Duration remaining = CriticalPathFrom(r, run_times, s);
-      const DeadlineOutlook outlook =
-          AssessDeadline(in.now, due_at, due_at + objective, remaining);
-      Resources need = step.need;
-      if (step.uses_idle_cpu) {
-        need.cpu_milli = 0;
-      }
-      const WaitingUnit first{
-          .job = &job,
-          .step = &step,
-          .first_task = {.job = r.id,
-                         .occurrence = static_cast<std::int32_t>(k),
-                         .step = static_cast<std::int32_t>(s)},
-          .member_count = step.gang ? step.tasks : 1,
-          .member_need = need,
-          .due_at = due_at,
-          .deadline = due_at + objective,
-          .outlook = outlook,
-          .run_time = run_times[s],
-          .remaining = remaining,
-          .planned_at = in.now,
-          .expected_end = ExpectedEnd(in.now, step, run_times[s])};
-      const auto waiting =
-          std::count_if(state.units.begin(), state.units.end(),
-                        [](const RunUnit& u) { return u.IsStartable(); });
-      if (waiting > 0) {
-        out.push_back({.first = first,
-                       .units = &state.units,
-                       .waiting_units = static_cast<std::size_t>(waiting)});
-      }
+  }
+}
+
+void Dispatcher::AppendWaitingStepsOf(const Input& in,
+                                      const LedgerJob& job,
+                                      std::size_t occurrence,
+                                      const std::vector<StepState>& states,
+                                      Time due_at,
+                                      const StepTimes& run_times,
+                                      std::vector<WaitingStep>& out) const {
+  const JobRequest& r = job.request;
+  const Time deadline = due_at +
+                        ScaledBy(r.terms.stretch, CriticalPath(r, run_times)) +
+                        r.terms.target;
+  for (std::size_t s = 0; s < r.steps.size(); ++s) {
+    const StepState& state = states[s];
+    if (state.IsDone() || !Ledger::IsReady(job, occurrence, s)) {
+      continue;
+    }
+    std::size_t waiting = 0;
+    for (const auto range : state.units) {
+      waiting += range.value.IsStartable() ? range.count : 0;
+    }
+    if (waiting == 0) {
+      continue;
     }
+    const JobStep& step = r.steps[s];
+    const Duration remaining = CriticalPathFrom(r, run_times, s);
+    Resources need = step.need;
+    if (step.uses_idle_cpu) {
+      need.cpu_milli = 0;
+    }
+    out.push_back(
+        {.first = {.job = &job,
+                   .step = &step,
+                   .first_task = {.job = r.id,
+                                  .occurrence =
+                                      static_cast<std::int32_t>(occurrence),
+                                  .step = static_cast<std::int32_t>(s)},
+                   .member_count = step.gang ? step.tasks : 1,
+                   .member_need = need,
+                   .due_at = due_at,
+                   .deadline = deadline,
+                   .outlook =
+                       AssessDeadline(in.now, due_at, deadline, remaining),
+                   .run_time = run_times[s],
+                   .remaining = remaining,
+                   .planned_at = in.now,
+                   .expected_end = ExpectedEnd(in.now, step, run_times[s])},
+         .units = &state.units,
+         .waiting_units = waiting});
   }
 }
 
@@ -590,10 +617,7 @@
                              const PreemptionDecision& decision) {
   for (const TaskRef& first : decision.placement.victims) {
     const LedgerJob& job = state.in.ledger.jobs().at(first.job);
-    const RunUnit& victim =
-        job.occurrences[static_cast<std::size_t>(first.occurrence)]
-                       [static_cast<std::size_t>(first.step)]
-                           .units[static_cast<std::size_t>(first.index)];
+    const RunUnit& victim = job.UnitOf(first);
     if (victim.stop_requested || !state.stopped_units.insert(first).second) {
       continue;
     }
@@ -688,45 +712,52 @@
 
 void Dispatcher::PlanStep(PlanState& state, const WaitingStep& step) const {
   WaitingUnit unit = step.first;
+  const std::size_t end = step.skipped_units + step.waiting_units;
   std::size_t seen = 0;
-  for (std::size_t n = 0; n < step.units->size(); ++n) {
-    unit.unit = &(*step.units)[n];
-    if (!unit.unit->IsStartable() || ++seen <= step.skipped_units) {
-      continue;
-    }
-    if (seen > step.skipped_units + step.waiting_units) {
-      return;
-    }
-    unit.first_task.index = static_cast<std::int32_t>(n);
-    if (state.in.excluded_units != nullptr &&
-        state.in.excluded_units->contains(unit.first_task)) {
-      continue;
-    }
-    unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
-    if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
-        state.fast_wait.TakeWaitOfStep(unit)) {
-      continue;
-    }
-    const PreemptionVerdict verdict = PlanUnit(state, unit);
-    if (verdict == PreemptionVerdict::kAccepted) {
-      continue;
-    }
-    state.unplaced.push_back(unit);
-    if (unit.needs_trial) {
-      TrialRules::KeepWorkerFree(unit, state.table);
+  for (const auto range : *step.units) {
+    if (!range.value.IsStartable()) {
       continue;
     }
-    // Work that displaces nobody for its cost would starve among smaller tasks.
-    if (!MayPreempt(unit) ||
-        (!unit.is_guaranteed && verdict != PreemptionVerdict::kNoVictims)) {
-      ReserveForGang(state.in, state.table, unit, state.reservations);
+    unit.unit = &range.value;
+    for (std::size_t n = 0; n < range.count && seen < end; ++n) {
+      if (++seen <= step.skipped_units) {
+        continue;
+      }
+      unit.first_task.index = static_cast<std::int32_t>(range.first + n);
+      if (!PlanUnitOfStep(state, unit)) {
+        return;
+      }
     }
-    // A plan only takes capacity, so the step's other units cannot be placed
-    // either.
-    return;
   }
 }
 
+bool Dispatcher::PlanUnitOfStep(PlanState& state, WaitingUnit& unit) const {
+  if (state.in.excluded_units != nullptr &&
+      state.in.excluded_units->contains(unit.first_task)) {
+    return true;
+  }
+  unit.needs_trial = unit.unit->MaxCrashes() >= kTrialCrashedWorkers;
+  if ((unit.needs_trial && !trials_.MayHostMore(state.table)) ||
+      state.fast_wait.TakeWaitOfStep(unit)) {
+    return true;
+  }
+  const PreemptionVerdict verdict = PlanUnit(state, unit);
+  if (verdict == PreemptionVerdict::kAccepted) {
+    return true;
+  }
+  state.unplaced.push_back(unit);
+  if (unit.needs_trial) {
+    TrialRules::KeepWorkerFree(unit, state.table);
+    return true;
+  }
+  // Work that displaces nobody for its cost would starve among smaller tasks.
+  if (!MayPreempt(unit) ||
+      (!unit.is_guaranteed && verdict != PreemptionVerdict::kNoVictims)) {
+    ReserveForGang(state.in, state.table, unit, state.reservations);
+  }
+  return false;
+}
+
 PreemptionVerdict Dispatcher::PlanUnit(PlanState& state,
                                        const WaitingUnit& unit) const {
   state.migrations.ReserveBefore(unit);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -58,6 +58,9 @@
     MigrationPolicy migration;
     // Estimated run time of a step that has no declared or learned one.
     Duration default_estimate{5000};
+    // Steps of due occurrences of one job that a plan looks at, in their order;
+    // a later plan looks at those behind.
+    std::size_t max_waiting_steps_of_job = 512;
     // How long before its due time an occurrence of a recurring job may start.
     Duration max_early_start{0};
     // Declared run times are uncertain: a unit counts as ended by the start
@@ -160,7 +163,22 @@
                           const LedgerJob& job,
                           const StepTimes& run_times,
                           std::vector<WaitingStep>& out) const;
+  // Those of one occurrence, which is due.
+  void AppendWaitingStepsOf(const Input& in,
+                            const LedgerJob& job,
+                            std::size_t occurrence,
+                            const std::vector<StepState>& states,
+                            Time due_at,
+                            const StepTimes& run_times,
+                            std::vector<WaitingStep>& out) const;
+  // Empty: the occurrence is not due yet.
+  std::optional<Time> DueTime(const Input& in,
+                              const LedgerJob& job,
+                              std::size_t occurrence) const;
   void PlanStep(PlanState& state, const WaitingStep& step) const;
+  // Returns false if the other units of the step cannot be placed either: a
+  // plan only takes capacity.
+  bool PlanUnitOfStep(PlanState& state, WaitingUnit& unit) const;
   // Starts the unit, preempts for it or lets it wait for faster machines. Any
   // other verdict: there is no room.
   PreemptionVerdict PlanUnit(PlanState& state, const WaitingUnit& unit) const;
--- a/src/dispatch/fair_share.cc
+++ b/src/dispatch/fair_share.cc
@@ -97,14 +97,16 @@
                      const LedgerJob& job,
                      ServiceUse& service) {
   AccountUse& account = service.accounts[job.request.account];
-  for (const std::vector<StepState>& occurrence : job.occurrences) {
+  for (const auto occurrences : job.occurrences) {
+    const std::vector<StepState>& occurrence = occurrences.value;
     for (std::size_t s = 0; s < occurrence.size(); ++s) {
       Resources need = job.request.steps[s].need;
       if (job.request.steps[s].uses_idle_cpu) {
         need.cpu_milli = 0;
       }
       std::int64_t members = 0;
-      for (const RunUnit& unit : occurrence[s].units) {
+      for (const auto range : occurrence[s].units) {
+        const RunUnit& unit = range.value;
         members += unit.phase == RunUnit::Phase::kRunning &&
                            ledger.IsAtServiceOfJob(job, unit)
                        ? unit.unfinished_members
--- a/src/dispatch/migration.cc
+++ b/src/dispatch/migration.cc
@@ -12,10 +12,7 @@
 }
 
 const RunUnit& UnitOf(const LedgerJob& job, const TaskRef& first) {
-  return job
-      .occurrences[static_cast<std::size_t>(first.occurrence)]
-                  [static_cast<std::size_t>(first.step)]
-      .units[static_cast<std::size_t>(first.index)];
+  return job.UnitOf(first);
 }
 
 // What the unit's runs use on the worker.
--- a/src/dispatch/preemption.cc
+++ b/src/dispatch/preemption.cc
@@ -129,11 +129,7 @@
   if (!MayPreempt(rank, *job, job->request.steps[step])) {
     return;
   }
-  const RunUnit& unit =
-      job->occurrences[static_cast<std::size_t>(task.occurrence)][step]
-          .units[job->request.steps[step].gang
-                     ? 0
-                     : static_cast<std::size_t>(task.index)];
+  const RunUnit& unit = job->UnitOf(FirstTaskOfUnit(*job, task));
   out.total += run.need;
   // The members of a gang follow each other.
   if (!out.victims.empty() && out.victims.back().unit == &unit) {
@@ -487,9 +483,7 @@
   if (job == nullptr || job->ended()) {
     return;
   }
-  stopped_.insert(&job->occurrences[static_cast<std::size_t>(
-      first.occurrence)][static_cast<std::size_t>(first.step)]
-                       .units[static_cast<std::size_t>(first.index)]);
+  stopped_.insert(&job->UnitOf(first));
   stops_beyond_guarantees_ += is_guaranteed ? 0 : 1;
 }
 
@@ -499,10 +493,7 @@
   std::map<std::pair<std::string, std::int32_t>, double> lost_credit;
   for (const TaskRef& first : placement.victims) {
     const LedgerJob& job = *forecast_.ledger().FindJob(first.job);
-    const RunUnit& unit =
-        job.occurrences[static_cast<std::size_t>(first.occurrence)]
-                       [static_cast<std::size_t>(first.step)]
-                           .units[static_cast<std::size_t>(first.index)];
+    const RunUnit& unit = job.UnitOf(first);
     double& credit = lost_credit[{first.job, first.occurrence}];
     credit = std::max(
         credit, value_.CreditLoss(job, first,
--- a/src/dispatch/preemption_value.cc
+++ b/src/dispatch/preemption_value.cc
@@ -91,8 +91,9 @@
 bool PreemptionValue::HasWaitingUnits(const StepState& step) {
   const auto [it, is_new] = has_waiting_.try_emplace(&step, false);
   if (is_new) {
-    it->second = std::any_of(step.units.begin(), step.units.end(),
-                             [](const RunUnit& u) { return u.IsStartable(); });
+    it->second = std::any_of(
+        step.units.begin(), step.units.end(),
+        [](const auto& range) { return range.value.IsStartable(); });
   }
   return it->second;
 }
--- a/src/dispatch/reservation.cc
+++ b/src/dispatch/reservation.cc
@@ -27,10 +27,7 @@
 double ReservationPlanner::SlownessOfGang(const LedgerJob& job,
                                           const TaskRef& task) {
   const TaskRef first = FirstTaskOfUnit(job, task);
-  const RunUnit& unit =
-      job.occurrences[static_cast<std::size_t>(first.occurrence)]
-                     [static_cast<std::size_t>(first.step)]
-                         .units[static_cast<std::size_t>(first.index)];
+  const RunUnit& unit = job.UnitOf(first);
   double slowness = 1;
   for (const MemberPlace& m : unit.members) {
     const WorkerCapacity* worker = table_.Find(m.incarnation);
--- a/src/dispatch/waiting_unit.h
+++ b/src/dispatch/waiting_unit.h
@@ -46,7 +46,8 @@
 // those after some that are planned before.
 struct WaitingStep {
   WaitingUnit first;  // Of all units, but for `unit` and the task's index.
-  const std::vector<RunUnit>* units = nullptr;  // Also those that don't wait.
+  // Also those that don't wait.
+  const RunLengthVector<RunUnit>* units = nullptr;
   std::size_t skipped_units = 0;  // Of those that wait, planned elsewhere.
   std::size_t waiting_units = 0;  // To be planned.
 };
--- a/src/jobs/job_snapshot.cc
+++ b/src/jobs/job_snapshot.cc
@@ -90,30 +90,16 @@
   return out;
 }
 
-// Equal elements in a row, and their number.
-template <typename T>
-std::vector<std::pair<const T*, std::int32_t>> FindRuns(
-    const std::vector<T>& in) {
-  std::vector<std::pair<const T*, std::int32_t>> out;
-  for (const T& element : in) {
-    if (out.empty() || !(*out.back().first == element)) {
-      out.emplace_back(&element, 0);
-    }
-    ++out.back().second;
-  }
-  return out;
-}
-
 void WriteOccurrence(
     const std::vector<StepState>& in,
     capnp::List<capnp::List<ledger_wire::UnitRun>>::Builder out) {
   for (unsigned s = 0; s < out.size(); ++s) {
-    const auto runs = FindRuns(in[s].units);
-    auto to = out.init(s, static_cast<unsigned>(runs.size()));
+    const RunLengthVector<RunUnit>& units = in[s].units;
+    auto to = out.init(s, static_cast<unsigned>(units.range_count()));
     unsigned n = 0;
-    for (const auto& [unit, count] : runs) {
-      to[n].setCount(count);
-      WriteUnit(*unit, to[n++].initUnit());
+    for (const auto range : units) {
+      to[n].setCount(static_cast<std::int32_t>(range.count));
+      WriteUnit(range.value, to[n++].initUnit());
     }
   }
 }
@@ -125,9 +111,11 @@
 std::int32_t CountRunning(const std::vector<StepState>& steps) {
   std::int32_t out = 0;
   for (const StepState& step : steps) {
-    out += static_cast<std::int32_t>(std::count_if(
-        step.units.begin(), step.units.end(),
-        [](const auto& u) { return u.phase == RunUnit::Phase::kRunning; }));
+    for (const auto range : step.units) {
+      out += range.value.phase == RunUnit::Phase::kRunning
+                 ? static_cast<std::int32_t>(range.count)
+                 : 0;
+    }
   }
   return out;
 }
@@ -139,8 +127,9 @@
   for (const auto units : in) {
     StepState& step = out.emplace_back();
     for (const auto unit : units) {
-      step.units.push_back(ReadUnit(unit));
-      CountUnit(step.units.back(), 1, step);
+      RunUnit state = ReadUnit(unit);
+      CountUnit(state, 1, step);
+      step.units.Append(1, std::move(state));
     }
   }
   return out;
@@ -166,10 +155,10 @@
       if (!AddWithinLimit(run.getCount(), units)) {
         return {};
       }
-      const RunUnit unit = ReadUnit(run.getUnit());
-      step.units.insert(step.units.end(),
-                        static_cast<std::size_t>(run.getCount()), unit);
+      RunUnit unit = ReadUnit(run.getUnit());
       CountUnit(unit, run.getCount(), step);
+      step.units.Append(static_cast<std::size_t>(run.getCount()),
+                        std::move(unit));
     }
   }
   return out;
@@ -184,19 +173,19 @@
 }
 
 // Empty if the counts are out of range.
-std::vector<std::vector<StepState>> ReadOccurrences(
+RunLengthVector<std::vector<StepState>> ReadOccurrences(
     capnp::List<ledger_wire::OccurrenceRun>::Reader in) {
-  std::vector<std::vector<StepState>> out;
+  RunLengthVector<std::vector<StepState>> out;
   std::int64_t units = 0;
   std::int64_t occurrences = 0;
   for (const auto run : in) {
     const std::int32_t count = run.getCount();
-    const std::vector<StepState> steps = ReadOccurrence(run.getSteps());
+    std::vector<StepState> steps = ReadOccurrence(run.getSteps());
     units += std::max(count, 0) * CountUnits(steps);
     if (!AddWithinLimit(count, occurrences) || units > kMaxTasksOfJob) {
       return {};
     }
-    out.insert(out.end(), static_cast<std::size_t>(count), steps);
+    out.Append(static_cast<std::size_t>(count), std::move(steps));
   }
   return out;
 }
@@ -210,13 +199,14 @@
   out.setOrder(in.sequence_number);
   out.setBegun(in.has_begun);
   out.setHasMoved(in.has_moved);
-  const auto runs = FindRuns(in.occurrences);
-  auto to = out.initOccurrenceRuns(static_cast<unsigned>(runs.size()));
+  auto to = out.initOccurrenceRuns(
+      static_cast<unsigned>(in.occurrences.range_count()));
   unsigned n = 0;
-  for (const auto& [steps, count] : runs) {
-    to[n].setCount(count);
-    WriteOccurrence(*steps,
-                    to[n++].initSteps(static_cast<unsigned>(steps->size())));
+  for (const auto range : in.occurrences) {
+    const std::vector<StepState>& steps = range.value;
+    to[n].setCount(static_cast<std::int32_t>(range.count));
+    WriteOccurrence(steps,
+                    to[n++].initSteps(static_cast<unsigned>(steps.size())));
   }
 }
 
@@ -230,10 +220,11 @@
   out.first_seen_at = now;
   out.occurrences = ReadOccurrences(in.getOccurrenceRuns());
   for (const auto steps : in.getOccurrences()) {
-    out.occurrences.push_back(ReadListedUnits(steps));
+    out.occurrences.Append(1, ReadListedUnits(steps));
   }
-  for (const std::vector<StepState>& steps : out.occurrences) {
-    out.running_units += CountRunning(steps);
+  for (const auto range : out.occurrences) {
+    out.running_units +=
+        CountRunning(range.value) * static_cast<std::int32_t>(range.count);
   }
   return out;
 }
@@ -256,7 +247,9 @@
   };
   return CheckJobRequest(job.request).empty() && !job.occurrences.empty() &&
          std::all_of(job.occurrences.begin(), job.occurrences.end(),
-                     has_units_of_steps);
+                     [&](const auto& range) {
+                       return has_units_of_steps(range.value);
+                     });
 }
 
 }  // namespace marjoramplank
--- a/src/jobs/ledger.cc
+++ b/src/jobs/ledger.cc
@@ -113,9 +113,7 @@
   const std::vector<StepState>& steps = job.occurrences[occurrence];
   const std::vector<std::int32_t>& after = job.request.steps[step].after;
   return std::all_of(after.begin(), after.end(), [&](std::int32_t n) {
-    const StepState& earlier = steps[static_cast<std::size_t>(n)];
-    return earlier.done_units ==
-           static_cast<std::int32_t>(earlier.units.size());
+    return steps[static_cast<std::size_t>(n)].IsDone();
   });
 }
 
@@ -129,13 +127,12 @@
   for (const std::string& id : open_jobs_) {
     LedgerJob& job = out.jobs_.emplace(id, jobs_.at(id)).first->second;
     job.request.payload = std::string();
-    for (std::vector<StepState>& steps : job.occurrences) {
+    job.occurrences.ForEachValue([&](std::vector<StepState>& steps) {
       for (StepState& step : steps) {
-        for (RunUnit& unit : step.units) {
-          reduce(unit.checkpoint);
-        }
+        step.units.ForEachValue(
+            [&](RunUnit& unit) { reduce(unit.checkpoint); });
       }
-    }
+    });
   }
   for (const auto& [incarnation, worker] : workers_) {
     LedgerWorker& copy =
@@ -160,9 +157,9 @@
 std::size_t Ledger::OpenUnitCount() const {
   std::size_t out = 0;
   for (const std::string& id : open_jobs_) {
-    for (const std::vector<StepState>& steps : jobs_.at(id).occurrences) {
-      for (const StepState& step : steps) {
-        out += step.units.size();
+    for (const auto occurrences : jobs_.at(id).occurrences) {
+      for (const StepState& step : occurrences.value) {
+        out += step.units.range_count();
       }
     }
   }
@@ -180,14 +177,13 @@
   job.first_seen_at = now;
   const int occurrence_count =
       std::max(1, r.request.recurrence.occurrence_count);
-  for (int k = 0; k < occurrence_count; ++k) {
-    std::vector<StepState>& steps = job.occurrences.emplace_back();
-    for (const JobStep& step : r.request.steps) {
-      const std::size_t n =
-          step.gang ? 1 : static_cast<std::size_t>(step.tasks);
-      steps.push_back({.units = std::vector<RunUnit>(n)});
-    }
+  std::vector<StepState> steps;
+  for (const JobStep& step : r.request.steps) {
+    const std::size_t n = step.gang ? 1 : static_cast<std::size_t>(step.tasks);
+    steps.push_back({.units = RunLengthVector<RunUnit>(n)});
   }
+  job.occurrences.Append(static_cast<std::size_t>(occurrence_count),
+                         std::move(steps));
   LedgerJob& stored = jobs_.emplace(id, std::move(job)).first->second;
   open_jobs_.insert(id);
   if (early_cancels_.erase(id) > 0) {
@@ -398,7 +394,7 @@
     return false;
   }
   const JobStep& step = job->request.steps[s];
-  const std::vector<RunUnit>& units = job->occurrences[k][s].units;
+  const RunLengthVector<RunUnit>& units = job->occurrences[k][s].units;
   const std::size_t u = static_cast<std::size_t>(r.first.index);
   if (u >= units.size() || !units[u].IsStartable() ||
       r.run != units[u].run + 1 ||
@@ -646,7 +642,15 @@
 }
 
 RunUnit* Ledger::FindUnit(const TaskRef& task) {
-  return const_cast<RunUnit*>(std::as_const(*this).FindUnit(task));
+  if (std::as_const(*this).FindUnit(task) == nullptr) {
+    return nullptr;
+  }
+  LedgerJob& job = jobs_.at(task.job);
+  const TaskRef first = FirstTaskOfUnit(job, task);
+  return &job.occurrences
+              .Isolate(static_cast<std::size_t>(
+                  first.occurrence))[static_cast<std::size_t>(first.step)]
+              .units.Isolate(static_cast<std::size_t>(first.index));
 }
 
 const RunUnit* Ledger::FindUnit(const TaskRef& task) const {
@@ -753,17 +757,21 @@
 void Ledger::FinishUnit(LedgerJob& job, const TaskRef& task, RunUnit& unit) {
   // A late start may have ended as done while the unit waited.
   job.running_units -= unit.phase == RunUnit::Phase::kRunning ? 1 : 0;
-  unit.phase = RunUnit::Phase::kDone;
-  unit.members.clear();
-  unit.checkpoint.clear();
-  StepState& step = job.occurrences[static_cast<std::size_t>(task.occurrence)]
-                                   [static_cast<std::size_t>(task.step)];
+  // Nobody asks for the rest of its history, so that it is equal to others.
+  unit = {.phase = RunUnit::Phase::kDone,
+          .run = unit.run,
+          .crashes = std::move(unit.crashes)};
+  const auto k = static_cast<std::size_t>(task.occurrence);
+  StepState& step =
+      job.occurrences.Isolate(k)[static_cast<std::size_t>(task.step)];
   ++step.done_units;
-  for (const std::vector<StepState>& occurrence : job.occurrences) {
-    for (const StepState& s : occurrence) {
-      if (s.done_units < static_cast<std::int32_t>(s.units.size())) {
-        return;
-      }
+  step.units.Coalesce(
+      static_cast<std::size_t>(FirstTaskOfUnit(job, task).index));
+  job.occurrences.Coalesce(k);
+  for (const auto occurrences : job.occurrences) {
+    if (!std::all_of(occurrences.value.begin(), occurrences.value.end(),
+                     [](const StepState& s) { return s.IsDone(); })) {
+      return;
     }
   }
   EndJob(job, JobPhase::kCompleted);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -9,6 +9,7 @@
 
 #include "marjoramplank/time.h"
 #include "src/jobs/ledger_record.h"
+#include "src/jobs/run_length_vector.h"
 #include "src/run_times/run_time_model.h"
 
 namespace marjoramplank {
@@ -53,9 +54,13 @@
 };
 
 struct StepState {
-  std::vector<RunUnit> units;   // One for a gang, else one for each task.
+  // One for a gang, else one for each task.
+  RunLengthVector<RunUnit> units;
   std::int32_t done_units = 0;  // Units that are done.
 
+  bool IsDone() const {
+    return done_units == static_cast<std::int32_t>(units.size());
+  }
   friend bool operator==(const StepState&, const StepState&) = default;
 };
 
@@ -73,10 +78,16 @@
   // Position among all accepted jobs, from 1.
   std::int64_t sequence_number = 0;
   // State of each step, by occurrence. Cleared when the job ends.
-  std::vector<std::vector<StepState>> occurrences;
+  RunLengthVector<std::vector<StepState>> occurrences;
   Time first_seen_at{0};  // When this process first read it. Not replicated.
 
   bool ended() const { return phase >= JobPhase::kCompleted; }
+  // The unit of its first task. It must exist.
+  const RunUnit& UnitOf(const TaskRef& first) const {
+    return occurrences[static_cast<std::size_t>(first.occurrence)]
+                      [static_cast<std::size_t>(first.step)]
+                          .units[static_cast<std::size_t>(first.index)];
+  }
 };
 
 // A run of a task that holds resources on a worker.
@@ -204,7 +215,7 @@
   // the open jobs only, no payloads and only marks of checkpoints: don't save
   // it as a snapshot.
   Ledger CopyForPlanning() const;
-  // Units of all open jobs, done ones included. Bounds the size of that copy.
+  // States of units that the open jobs hold. Bounds the size of that copy.
   std::size_t OpenUnitCount() const;
 
   const LedgerJob* FindJob(const std::string& id) const;
--- a/src/node/explain_service.cc
+++ b/src/node/explain_service.cc
@@ -87,10 +87,10 @@
     return RefuseFields({{"id", "the ledger has a job of this id"}});
   }
   if (!copy) {
-    return Refuse(Kind::kTooLarge, "the open jobs have " +
-                                       std::to_string(units) +
-                                       " tasks; explanations are made up to " +
-                                       std::to_string(options_.max_units));
+    return Refuse(Kind::kTooLarge,
+                  "the open jobs hold " + std::to_string(units) +
+                      " states of tasks; explanations are made up to " +
+                      std::to_string(options_.max_units));
   }
   if (!view.loaded || !view.was_read_to_end ||
       now - view.as_of > options_.max_ledger_age) {
