Acknowledgements are not withheld where that hides later ends

Cause: while a start may arrive no end was acknowledged, so a worker listed the same page for up to 12.5 s, and ends behind it were not seen. And the adapter took a listing for complete if it had fewer than 500 ends, whatever the worker's page.

Change: ends are acknowledged while a run that was listed at work is listed neither at work nor as ended. A start that is not settled withholds them at the first listing only: which incarnation lives is known from each listing.

--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -29,6 +29,7 @@
     b.Read("gang_timeout_ms", out.bounds.gang_timeout);
     b.Read("grace_ms", out.bounds.grace);
     b.Read("reclaim_ms", out.bounds.reclaim);
+    b.Read("ends_per_listing", out.bounds.ends_per_listing);
   });
   in.ReportUnknownKeys();
   return out;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -16,6 +16,7 @@
   Duration gang_timeout{3000};    // Gang members wait this long for each other.
   Duration grace{6000};           // From SIGTERM to SIGKILL.
   Duration reclaim{2700};         // A guaranteed job starts within this.
+  std::int32_t ends_per_listing = 500;  // That a worker lists at once.
 
   friend bool operator==(const PlatformBounds&,
                          const PlatformBounds&) = default;
--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -187,6 +187,7 @@
   resolution_listing_ = 0;
   listing_count_ = 0;
   ends_seen_before_listing_ = 0;
+  has_hidden_ends_ = false;
   worker_clock_ms_ = 0;
   worker_clock_at_ = now;
   report_sent_at_ = Time{0};
@@ -623,10 +624,17 @@
          now - last_hold_at_ >= contact_.ListingInterval();
 }
 
-bool Supervisor::MayAnyStartArrive(Time now) const {
+bool Supervisor::WithholdsEnds(Time now) const {
+  if (has_hidden_ends_) {
+    return false;
+  }
+  // Which incarnation lives is known from each listing, so that a start that is
+  // not settled yet matters to the first one only.
   return late_starts_.MayArrive(now) ||
          std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
-           return MayStartArrive(now, entry.second);
+           const LocalRun& run = entry.second;
+           return MayStartArrive(now, run) &&
+                  (run.unanswered_stated || listing_count_ == 0);
          });
 }
 
@@ -669,7 +677,7 @@
   }
   // A number may come to the next incarnation, whose ends nobody has seen: it
   // has some only if it has got a start.
-  const bool withholds_ends = MayAnyStartArrive(now);
+  const bool withholds_ends = WithholdsEnds(now);
   const bool has_unacked_ends = last_recorded_end_ > last_acked_end_ &&
                                 !holds_back_ends && !withholds_ends;
   bool has_started_runs = false;
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -37,6 +37,9 @@
     std::string process;  // Identifies this run of the agent's process.
     Time started_at{0};   // Of this process.
     LeaseTiming leases;
+    // Least number of ends that the worker lists at once, if it has as many. A
+    // shorter list has all of them.
+    std::size_t ends_per_listing = 1;
     // A start may be tried for this long after it was ordered. One that is read
     // later, after a partition, is refused: the planner has given it up. The
     // members of a gang must come together within the platform's gang timeout;
@@ -229,7 +232,10 @@
   void OnRestarted(Time now, const std::string& reason);
   // A start of the run may still be carried out, by any incarnation.
   bool MayStartArrive(Time now, const LocalRun& run) const;
-  bool MayAnyStartArrive(Time now) const;
+  // No end is acknowledged: the number goes to whoever answers at the id, and
+  // the next incarnation may have got a start. Not while that hides later ends:
+  // a worker lists its ends a page at a time.
+  bool WithholdsEnds(Time now) const;
   // The run is better started again here than refused: its task could not start
   // elsewhere before the start that had no answer is too old.
   bool MayRetryStart(Time now, const LocalRun& run) const;
@@ -349,6 +355,9 @@
   std::int64_t listing_count_ = 0;  // Listings that were answered.
   // Every end from before this listing has been seen.
   std::int64_t ends_seen_before_listing_ = 0;
+  // The last listing showed a run neither at work, as one before had, nor
+  // ended.
+  bool has_hidden_ends_ = false;
   // At the last OnLedger().
   bool is_ledger_current_ = false;
   // At some time since this incarnation of the worker was first seen.
--- a/src/supervisor/supervisor_replies.cc
+++ b/src/supervisor/supervisor_replies.cc
@@ -240,10 +240,10 @@
                                  const HoldCall& call,
                                  const HoldReply& reply) {
   // A row that cannot be read may be an end.
-  const bool may_have_other_ends =
-      reply.is_page_full || reply.unreadable_rows > 0;
+  bool lists_unacked_end = reply.unreadable_rows > 0;
   first_listed_end_ = reply.ended.empty() ? 0 : reply.ended.front().end_number;
   for (const TaskEnded& e : reply.ended) {
+    lists_unacked_end = lists_unacked_end || e.end_number > call.acked_end;
     const auto it = runs_.find(e.task);
     const bool is_known = it != runs_.end() && it->second.run == e.run;
     // A lower number with a run that the ledger still gives to the worker: the
@@ -270,9 +270,17 @@
       last_suspected_end_ = end.end_number;
     }
   }
-  if (!may_have_other_ends) {
+  const bool is_short = reply.unreadable_rows == 0 &&
+                        reply.ended.size() < options_.ends_per_listing;
+  if (!lists_unacked_end || is_short) {
     ends_seen_before_listing_ = listing_count_;
   }
+  has_hidden_ends_ =
+      std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+        const LocalRun& run = entry.second;
+        return run.phase == Phase::kOnWorker && !run.outcome_queued &&
+               run.last_listed_in > 0 && run.last_listed_in < listing_count_;
+      });
 }
 
 bool Supervisor::WasNotCarriedOut(const LocalRun& run,
--- a/src/supervisor/worker_calls.h
+++ b/src/supervisor/worker_calls.h
@@ -127,9 +127,6 @@
   std::optional<std::int64_t> clock_ms;  // Worker's clock.
   std::vector<RunningTask> running;
   std::vector<TaskEnded> ended;  // The caller fills in `incarnation`.
-  // As many as a worker lists at once: it may have later ones, which it lists
-  // once these are acknowledged.
-  bool is_page_full = false;
   // Rows of both lists that name a task and could not be read otherwise. A
   // task that is not listed may be in one of them.
   std::int32_t unreadable_rows = 0;
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -88,6 +88,7 @@
   bounds.set("max_lease_ms", settings.bounds.max_hold);
   bounds.set("gang_timeout_ms", settings.bounds.gang_timeout);
   bounds.set("reclaim_ms", settings.bounds.reclaim);
+  bounds.set("ends_per_listing", settings.listed_ends);
   Object out;
   out.set("name", settings.name);
   out.set("data_centre", settings.zone);
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -35,6 +35,7 @@
   std::string second;  // Address for readiness checks, or of the worker.
   bool is_entry = false;
   Bounds bounds;
+  int listed_ends = 0;  // By a worker in one answer.
 };
 
 std::string ToText(const Settings& settings);
