The age of a late start goes on over restarts of an agent

Cause: an agent read the late starts before its own heartbeat was in the ledger. What earlier processes had run is known only then, so the wait began anew with each restart.

Change: late starts are taken over once the process is in the ledger.

Evidence: the case of restarted_worker_test in which the agent ends again and again now reads the ledger before its first heartbeat: 3 checks failed before, none now.

--- a/src/supervisor/supervisor.cc
+++ b/src/supervisor/supervisor.cc
@@ -363,7 +363,8 @@
   recorded_worker_ = recorded == nullptr || recorded->incarnation_ended
                          ? WorkerIncarnation()
                          : self->incarnation;
-  if (current && self != nullptr) {
+  // How long earlier processes had run is known once this one is in the ledger.
+  if (current && self != nullptr && self->process == options_.process) {
     late_starts_.OnLedger(*self, recorded);
   }
   if (!worker_ || has_departed_) {
--- a/tests/unit/restarted_worker_test.cc
+++ b/tests/unit/restarted_worker_test.cc
@@ -283,6 +283,8 @@
                                                .process_number = n + 1,
                                                .uptime = rig.now - started_at});
     };
+    // It reads the ledger before its first heartbeat is there.
+    successor.OnLedger(rig.now, rig.ledger, /*current=*/true);
     while (rig.now < started_at + lifetime && rig.IsHeld(kTask)) {
       beat();
       rig.Answer(std::min(rig.now + 800ms, started_at + lifetime),
